--- /dev/null
+++ b/fieldspur/__init__.py
@@ -0,0 +1,1 @@
+"""A traffic router for a two-tier cache."""
--- /dev/null
+++ b/fieldspur/decide.py
@@ -0,0 +1,567 @@
+"""All decisions of fieldspur: which cache serves a txn, where a miss is filled from, who waits, who is given up.
+
+A program builds one Router for each running instance (from a Fleet, Purges and Collapsing) and calls one method
+for each thing that happens; the Router acts by calling its host at once. The host's calls, the words for a hop's
+result and the RemapRule are in fieldspur/host.py. docs/design.md tells the why, docs/oncall.md what to do.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from statistics import median
+
+from .host import (FILLED, FILLED_BY_ORIGIN, HIT, JOINED, NEVER_RAN, NO_FILL_PLACE, ORIGIN_FAILED, PAST_FRESH,
+                   SOURCE_LACKS, SOURCE_LOST, SOURCE_REFUSED, Host, RemapRule)
+
+MS, SECOND = 1_000_000, 1_000_000_000
+
+OUTER_WAIT = 3 * SECOND  # the source's lock time-out, kept as the outer bound of any wait
+MOST_WAITERS = 64  # waiting list of one object and part; further txns go straight to the home
+KNOWN_SPAN, KNOWN_MOST = 8 * SECOND, 4096  # how long, and for how many parts, an answer from home counts as a hit
+KEPT_RANK = 2  # above the lowest rank
+COLD_USE = 0.45  # share of a cold server's budget used: once as its bucket, once more as refill within the span
+ROUGH_RATING = 0.7  # a roughly known size may be this much too large
+SPILL, SPILL_HOPS = 1.5, 2.0  # a cache is over its bound past SPILL times the mean load and so many mean hops
+FAIL_STEP, FAIL_LIMIT = 0.2, 0.35  # weight of one result in a server's failure share; the share that ejects
+FAIL_TIMES = 2.0  # ... if it is also this many times the median of its peers
+SLOW_STEP, SLOW_TIMES = 0.15, 2.5  # weight of one answer in a server's slowness; times its peers' that ejects
+EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND  # ejection, doubling each time
+QUIET_LEAST, QUIET_TIMES = 300 * MS, 1.5  # silence is suspect past this and so many times what a hop should take
+RETRY_SHARE, RETRY_MOST = 0.3, 20.0  # retry budget: further hops for each txn, and the most that are saved up
+FIRST_WORK, FIRST_BYTE = 400 * MS, 80 * MS  # sending time and fill's first byte, before any is learned
+LEARN = 0.05  # weight of one sample in what is learned
+
+
+@dataclass(slots=True)
+class Server:
+    """All that is known about one cache, parent or the origin."""
+
+    name: str
+    state: str = "gone"
+    started: int = 0
+    zone: int = 0
+    rating: float = 1.0
+    kind: int = 0
+    cell: int = 0
+    out: dict = field(default_factory=dict)  # hops out there, oldest first
+    load: int = 0  # their sending time
+    rate: float = 0.0  # sending time a second that this router lately asked of it
+    rate_at: int = 0
+    heard: int = 0  # when it last answered anything
+    fails: float = 0.0
+    slowness: float = 1.0  # time taken over time expected (a source: its wait over the usual one)
+    ejected_until: int = 0  # 0: in service; past: one hop at a time until it has proved itself
+    ejections: int = 0
+    tokens: float = 0.0
+    tokens_at: int = 0
+
+
+@dataclass(slots=True)
+class Hop:
+    txn: Txn
+    number: int
+    server: Server
+    source: Server | None
+    sent: int
+    work: int
+    charged: float  # what the source's cold budget was charged
+    out: bool = True
+    ran: bool = True  # may have run
+    dropped: bool = False  # cancelled by this router
+
+
+@dataclass(slots=True, eq=False)
+class Txn:
+    ident: int
+    rule: RemapRule
+    habit: Habit
+    obj: str
+    part: int
+    group: int
+    work: int
+    sla_at: int
+    limit_at: int
+    hops: list = field(default_factory=list)
+    leads: bool = False
+    waits: bool = False
+    ended: bool = False
+    bad_caches: set = field(default_factory=set)
+    bad_sources: set = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class Habit:
+    """What is learned of one remap rule."""
+
+    work: float = FIRST_WORK  # mean sending time
+
+
+class Purges:
+    """Times of the purges that still bind, by object and by group."""
+
+    def __init__(self, span: int):
+        self.span = span
+        self.objects: dict[str, int] = {}
+        self.groups: dict[int, int] = {}
+
+    def note(self, now: int, obj, group: int, age: int) -> None:
+        table, key = (self.groups, group) if obj is None else (self.objects, obj)
+        made = max(now - age, table.pop(key, 0))
+        table[key] = made
+        for old in [k for k, at in list(table.items())[:8] if now - at > 2 * self.span]:
+            del table[old]
+
+    def latest(self, now: int, obj, group: int) -> int:
+        """When the newest binding purge of the object was made; 0 if none binds."""
+        made = max(self.objects.get(obj, 0), self.groups.get(group, 0))
+        return made if made and now - made <= 2 * self.span else 0
+
+    def oldest_copy(self, now: int, obj, group: int, fresh: int) -> int:
+        """The oldest copy that will do, never 0 where a purge binds (0 leaves it to the rule)."""
+        made = self.latest(now, obj, group)
+        if not made:
+            return 0
+        age = max(1000, now - made)
+        return min(age, fresh) if fresh else age
+
+
+@dataclass(slots=True)
+class Flight:
+    leader: Txn
+    since: int
+    waiters: dict = field(default_factory=dict)
+
+
+class Collapsing:
+    """Leaders and waiting lists by object and part, and the memory of what home caches lately answered."""
+
+    def __init__(self):
+        self.flights: dict[tuple, Flight] = {}
+        self.known: dict[tuple, tuple[str, int, int]] = {}
+
+    def answered(self, key, server: Server, now: int, fresh: int) -> None:
+        self.known.pop(key, None)
+        self.known[key] = (server.name, server.started, now + min(KNOWN_SPAN, fresh or KNOWN_SPAN))
+        if len(self.known) > KNOWN_MOST:
+            del self.known[next(iter(self.known))]
+
+    def is_known(self, key, server: Server, now: int, purged: int) -> bool:
+        name, started, until = self.known.get(key, ("", 0, 0))
+        return (name == server.name and started == server.started and now < until
+                and purged < until - KNOWN_SPAN)
+
+
+class Fleet:
+    """The listed servers: their states, health, loads and cold budgets."""
+
+    def __init__(self, zone: int, parent_kind: int, origin_kind: int, sized: str, cache_share: float,
+                 parent_share: float, cache_cold: tuple, parent_cold: tuple, fall_span: int):
+        self.zone, self.parent_kind, self.origin_kind = zone, parent_kind, origin_kind
+        self.size_trust = {"nominal": 1.0, "rough": ROUGH_RATING}.get(sized, 0.0)
+        self.cold = {False: (cache_share, *cache_cold), True: (parent_share, *parent_cold)}
+        self.fall_span = fall_span
+        self.servers: dict[str, Server] = {}
+        self.caches: list[Server] = []
+        self.parents: list[Server] = []
+        self.origin: Server | None = None
+        self.listed: set | None = None
+
+    # The list.
+
+    def list_begins(self, complete: bool) -> None:
+        self.listed = set() if complete else None
+
+    def server_listed(self, name, state, started, zone, rating, kind, cell) -> None:
+        s = self.servers.setdefault(name, Server(name))
+        if started != s.started:  # a new process: empty, cold, and nothing held against it
+            s.fails, s.slowness, s.ejected_until, s.ejections, s.tokens, s.tokens_at = 0.0, 1.0, 0, 0, math.inf, 0
+        s.state, s.started, s.zone, s.rating, s.kind, s.cell = state, started, zone, rating, kind, cell
+        if self.listed is not None:
+            self.listed.add(name)
+
+    def list_ends(self) -> None:
+        for s in self.servers.values():
+            if self.listed is not None and s.name not in self.listed:
+                s.state = "gone"  # absence from a complete list is a removal
+        here = sorted((s for s in self.servers.values() if s.state != "gone"), key=lambda s: s.name)
+        self.parents = [s for s in here if s.kind == self.parent_kind]
+        self.origin = next((s for s in here if s.kind == self.origin_kind), None)
+        self.caches = [s for s in here if s.zone == self.zone and s.kind not in (self.parent_kind, self.origin_kind)]
+
+    def weight(self, s: Server) -> float:
+        return max(s.rating, 0.01) if self.size_trust else 1.0
+
+    def ranked(self, servers: list[Server], key: str) -> list[Server]:
+        """Weighted rendezvous hashing, alike at all routers; health does not enter."""
+        def score(s: Server) -> float:
+            word = blake2b(key.encode(), key=s.name.encode()[:64], digest_size=8).digest()
+            return math.log((int.from_bytes(word, "big") + 1) / 2.0**64) / self.weight(s)
+        return sorted(servers, key=score, reverse=True)
+
+    # Load and cold budgets.
+
+    def carried(self, s: Server, work: float, now: int) -> None:
+        s.rate = self.rate(s, now) + work / (5 * SECOND)
+        s.rate_at = now
+
+    def rate(self, s: Server, now: int) -> float:
+        return s.rate * math.exp((s.rate_at - now) / (5 * SECOND))
+
+    def is_cold(self, s: Server, now: int) -> bool:
+        return bool(s.started) and now - s.started < self.cold[s.kind == self.parent_kind][2]
+
+    def has_room(self, s: Server, now: int, charge: float) -> bool:
+        """Guards a freshly started server: this router's share of what it can take, as a token bucket."""
+        if not self.is_cold(s, now) or s.kind == self.origin_kind:
+            return True
+        share, start, ramp, multiple = self.cold[s.kind == self.parent_kind]
+        if self.size_trust:
+            mine = s.rating * self.size_trust * share
+        else:  # sizes are not told: what this router lately asked of the warm ones
+            peers = self.parents if s.kind == self.parent_kind else self.caches
+            rates = [self.rate(p, now) for p in peers if not self.is_cold(p, now)]
+            mine = max(0.1, sum(rates) / len(rates) if rates else 0.0)
+        able = mine * (start + (1 - start) * max(0, now - s.started) / ramp) * min(multiple * COLD_USE, 1.0)
+        most = able * self.fall_span
+        s.tokens = min(most, s.tokens + able * (now - s.tokens_at) if s.tokens_at else most)
+        s.tokens_at = now
+        return s.tokens >= charge
+
+    # Health.
+
+    def healthy(self, s: Server, now: int) -> bool:
+        return not s.ejected_until or (now >= s.ejected_until and not s.out)
+
+    def eject(self, s: Server, now: int) -> None:
+        s.ejected_until = now + min(EJECT_MOST, EJECT_FIRST << min(s.ejections, 6))
+        s.ejections += 1
+
+    def judge(self, s: Server, failed: float, now: int) -> bool:
+        """Count one result, 1 failed to 0 well; True if it ejects the server. Only an outlier is ejected."""
+        s.fails += (failed - s.fails) * FAIL_STEP
+        peers = [p.fails for p in (self.parents if s in self.parents else self.caches) if p is not s]
+        if failed and s.kind != self.origin_kind and s.fails > max(
+                FAIL_LIMIT, FAIL_TIMES * median(peers) if peers else 1.0):
+            self.eject(s, now)
+            return True
+        if not failed and s.ejected_until:
+            if s.fails < FAIL_LIMIT / 2:
+                s.ejected_until = 0
+            else:
+                s.ejected_until = now
+        return False
+
+    def pace(self, s: Server, ratio: float, now: int) -> bool:
+        """Count how slow one answer was; True if the server proves slow beside its peers."""
+        s.slowness += (min(ratio, 10.0) - s.slowness) * SLOW_STEP
+        peers = [p.slowness for p in (self.parents if s in self.parents else self.caches) if p is not s]
+        if peers and not s.ejected_until and s.slowness > SLOW_TIMES * max(1.0, median(peers)):
+            self.eject(s, now)
+            s.slowness = 1.0
+            return True
+        return False
+
+    # Choice.
+
+    def cache_for(self, obj, part, now, work, mean, avoid, allowed) -> Server | None:
+        """The home cache, or as far down its order as health, budgets and the load bound make it go."""
+        able = [s for s in self.ranked(self.caches, obj)
+                if s.state == "up" and allowed(s) and self.has_room(s, now, mean)]
+        fit = ([s for s in able if s.name not in avoid and self.healthy(s, now)]
+               or [s for s in able if s.name not in avoid] or able)
+        if not fit:
+            return None
+        loads, weights = sum(s.load for s in fit) + work, sum(self.weight(s) for s in fit)
+        bound = {s.name: SPILL * loads * self.weight(s) / weights + SPILL_HOPS * mean for s in fit}
+        if fit[0].load + work <= bound[fit[0].name]:
+            return fit[0]
+        # A hot object's home is over its bound: its parts spread, alike at all routers.
+        return next((s for s in self.ranked(fit, f"{obj}#{part}") if s.load + work <= bound[s.name]), fit[0])
+
+    def source_for(self, obj, now, charge, avoid) -> Server | None:
+        """The first parent of the shared hash, the second while it fails; then the origin."""
+        able = [s for s in self.ranked(self.parents, obj)
+                if s.state == "up" and s.name not in avoid and self.has_room(s, now, charge)]
+        fit = [s for s in able if self.healthy(s, now)]
+        origin = [self.origin] if self.origin and self.origin.state == "up" else []
+        return next(iter(fit or origin or able), None)
+
+
+class Router:
+    """One router's decisions. It shares nothing with other routers."""
+
+    def __init__(self, host: Host, seed: int, rules: list[RemapRule], fleet: Fleet, purges: Purges,
+                 collapsing: Collapsing, kb_per_s: float, hop_limit: int, joins: bool, siblings: bool, probes: bool,
+                 cancels: bool, longest_come_back: int):
+        self.host, self.rules, self.fleet, self.purges, self.collapsing = host, rules, fleet, purges, collapsing
+        self.random = random.Random(seed)
+        self.kb_per_s, self.hop_limit, self.joins, self.siblings = kb_per_s, hop_limit, joins, siblings
+        self.probes, self.cancels, self.longest_come_back = probes, cancels, longest_come_back
+        self.habits = [Habit() for _ in rules]
+        self.first_byte_after, self.first_byte_spread = float(FIRST_BYTE), FIRST_BYTE / 2
+        self.txns: dict[int, Txn] = {}
+        self.alarms: dict[int, tuple] = {}
+        self.last_label = 0
+        self.retries = RETRY_MOST
+        self.list_begins, self.server_listed, self.list_ends = fleet.list_begins, fleet.server_listed, fleet.list_ends
+
+    # A txn's way.
+
+    def txn_arrived(self, ident: int, rule_at: int, obj: str, part: int, left: int, kb: float, group: int) -> None:
+        now, rule, habit = self.host.now(), self.rules[rule_at], self.habits[rule_at]
+        if kb:
+            work = int(kb / self.kb_per_s * SECOND)
+            habit.work += (work - habit.work) * LEARN
+        else:
+            work = int(habit.work)
+        txn = Txn(ident, rule, habit, obj, part, group, work, now + rule.sla + int(rule.sla_stretch * work), now + left)
+        self.txns[ident] = txn
+        self.retries = min(RETRY_MOST, self.retries + RETRY_SHARE)
+        if rule.never_kept:  # nothing to share: straight through a cache to the origin
+            return self.send(txn)
+        home = self.fleet.cache_for(obj, part, now, work, habit.work, (), lambda s: True)
+        key, purged = (obj, part), self.purges.latest(now, obj, group)
+        if home is None or self.collapsing.is_known(key, home, now, purged):
+            return self.send(txn)  # the first cache check finds it
+        flight = self.collapsing.flights.get(key)
+        if flight is None:
+            self.collapsing.flights[key] = Flight(txn, now)
+            txn.leads = True
+            return self.send(txn)
+        free_at = min(flight.since + int(self.first_byte_after + 2 * self.first_byte_spread),
+                      txn.sla_at - int(1.2 * work) - 50 * MS, now + OUTER_WAIT, txn.limit_at - work)
+        if free_at <= now or len(flight.waiters) >= MOST_WAITERS:
+            return self.send(txn)
+        flight.waiters[ident] = txn
+        txn.waits = True
+        self.at(free_at, self.wait_over, txn)
+
+    def wait_over(self, txn: Txn) -> None:
+        if txn.waits and not txn.ended:
+            self.leave_list(txn)
+            self.send(txn)
+
+    def leave_list(self, txn: Txn) -> None:
+        flight = self.collapsing.flights.get((txn.obj, txn.part))
+        if txn.waits and flight:
+            flight.waiters.pop(txn.ident, None)
+        txn.waits = False
+
+    def send(self, txn: Txn) -> None:
+        """Send the txn on its next hop, or end it at once if there is nowhere to go."""
+        now, rule = self.host.now(), txn.rule
+        if txn.ended or now >= txn.limit_at or len(txn.hops) >= self.hop_limit or any(h.out for h in txn.hops):
+            return None if txn.ended or any(h.out for h in txn.hops) else self.give_up(txn)
+        mean = max(txn.habit.work, txn.work)
+        server = self.fleet.cache_for(txn.obj, txn.part, now, txn.work, mean, txn.bad_caches,
+                                      lambda s: self.may_send(txn, s, now))
+        if server is None:
+            return self.give_up(txn)
+        if rule.never_kept:
+            source, rank, charged = self.fleet.origin, 0, 0.0
+            if source is not None and source.state != "up":
+                return self.give_up(txn)
+        else:
+            source, rank = self.fleet.source_for(txn.obj, now, mean, txn.bad_sources), KEPT_RANK
+            charged = mean if source is not None and self.fleet.is_cold(source, now) else 0.0
+        if source is not None:
+            source.tokens -= charged
+        if self.fleet.is_cold(server, now):
+            server.tokens -= mean
+        self.fleet.carried(server, txn.work, now)
+        hop = Hop(txn, len(txn.hops), server, source, now, txn.work, charged)
+        if not server.out:
+            server.heard = max(server.heard, now)  # nothing was owed until now
+        txn.hops.append(hop)
+        server.out[txn.ident, hop.number] = hop
+        server.load += hop.work
+        age = 0 if rule.never_kept else self.purges.oldest_copy(now, txn.obj, txn.group, rule.fresh)
+        self.host.hop(txn.ident, server.name, txn.limit_at, source.name if source else None, rank, age,
+                      self.joins and not rule.never_kept, rule.fresh > 0)
+        self.at(now + self.patience(hop), self.hop_due, hop)
+
+    def may_send(self, txn: Txn, server: Server, now: int) -> bool:
+        """Guards against an effect that happens twice."""
+        ran = [h for h in txn.hops if h.ran]
+        if not ran or txn.rule.kind == "repeatable":
+            return True
+        if txn.rule.kind == "unrepeatable" or now - ran[0].sent >= txn.rule.remembered:
+            return False
+        return all(txn.rule.group == "all" or (txn.rule.group == "zone" and server.zone == h.server.zone)
+                   or (txn.rule.group == "cell" and server.cell == h.server.cell) for h in ran)
+
+    def may_reject(self, txn: Txn) -> bool:
+        return txn.rule.kind == "repeatable" or not any(h.ran for h in txn.hops) or (
+            txn.rule.kind == "keyed" and txn.rule.group == "all")
+
+    def give_up(self, txn: Txn) -> None:
+        """The final answer, at once."""
+        if txn.ended:
+            return
+        if self.may_reject(txn):
+            self.host.reject(txn.ident, int(self.longest_come_back * self.random.uniform(0.3, 1.0)))
+        else:
+            self.host.abort(txn.ident)
+        self.finish(txn, None)
+
+    def finish(self, txn: Txn, home: Server | None) -> None:
+        """The txn has its final answer, from `home` if it was completed. Its list moves on."""
+        txn.ended = True
+        self.leave_list(txn)
+        for hop in txn.hops:
+            if hop.out and self.cancels:
+                self.drop(hop)
+        if not any(h.out for h in txn.hops):
+            self.txns.pop(txn.ident, None)
+        key = (txn.obj, txn.part)
+        if home is not None and not txn.rule.never_kept:
+            self.collapsing.answered(key, home, self.host.now(), txn.rule.fresh)
+        if not txn.leads:
+            return
+        txn.leads = False
+        flight = self.collapsing.flights.pop(key)
+        if home is None and flight.waiters:  # the next one leads
+            heir = flight.waiters.pop(next(iter(flight.waiters)))
+            heir.waits, heir.leads = False, True
+            self.collapsing.flights[key] = Flight(heir, self.host.now(), flight.waiters)
+            return self.send(heir)
+        for waiter in list(flight.waiters.values()):
+            waiter.waits = False
+            self.send(waiter)
+
+    def drop(self, hop: Hop) -> None:
+        if not hop.dropped:
+            hop.dropped = True
+            self.host.cancel(hop.txn.ident, hop.number)
+
+    # What hops tell.
+
+    def hop_ended(self, ident: int, number: int, result: str, took: int, final: bool, note: int, waited: int | None,
+                  load: dict | None) -> None:
+        txn, now = self.txns.get(ident), self.host.now()
+        if txn is None or number >= len(txn.hops) or not txn.hops[number].out:
+            return
+        hop = txn.hops[number]
+        hop.out, hop.ran = False, result not in NEVER_RAN
+        hop.server.out.pop((ident, number), None)
+        hop.server.load -= hop.work
+        self.learn(hop, result, took, note, waited, now)
+        if txn.ended:
+            if not any(h.out for h in txn.hops):
+                self.txns.pop(ident, None)
+        elif final:
+            self.finish(txn, hop.server if result == "completed" else None)
+        elif any(h.out for h in txn.hops):
+            return
+        elif now >= txn.limit_at - 2 * MS or result == "timed_out" or not self.may_retry(hop):
+            self.give_up(txn)
+        else:
+            self.send(txn)
+
+    def may_retry(self, hop: Hop) -> bool:
+        if self.retries < 1:
+            return False
+        self.retries -= 1
+        return True
+
+    def learn(self, hop: Hop, result: str, took: int, note: int, waited: int | None, now: int) -> None:
+        """Whom a result speaks for or against: the cache, the source, or neither."""
+        server, source, txn = hop.server, hop.source, hop.txn
+        if result in ("completed", "error", "full", "missing"):
+            server.heard = now
+        if source is not None and hop.charged and (note in (HIT, JOINED, PAST_FRESH)):
+            source.tokens += hop.charged  # the source was not asked
+        if result == "completed":
+            if self.fleet.judge(server, 0.0, now):
+                self.log_ejection(server)
+            spent = max(0, took - (waited or 0))
+            if self.fleet.pace(server, spent / (txn.work + 50 * MS), now):
+                self.log_ejection(server)
+            if note in (FILLED, FILLED_BY_ORIGIN) and source is not None:
+                self.fleet.carried(source, txn.work, now)
+                self.fleet.judge(source, 0.0, now)
+                wait = waited if waited is not None else max(0, took - txn.work)
+                off = wait - self.first_byte_after
+                self.first_byte_after += min(off, 5 * self.first_byte_after) * LEARN
+                self.first_byte_spread += (abs(off) - self.first_byte_spread) * LEARN
+                if self.fleet.pace(source, (wait + 20 * MS) / (self.first_byte_after + 20 * MS), now):
+                    self.log_ejection(source)
+        elif note in (SOURCE_REFUSED, SOURCE_LOST, SOURCE_LACKS, ORIGIN_FAILED):
+            if source is not None:
+                txn.bad_sources.add(source.name)
+                if note in (SOURCE_REFUSED, SOURCE_LOST) and self.fleet.judge(source, 1.0, now):
+                    self.log_ejection(source)
+        elif result == "error":
+            txn.bad_caches.add(server.name)
+            if self.fleet.judge(server, 1.0, now):
+                self.log_ejection(server)
+            if source is not None and not txn.rule.never_kept and self.fleet.judge(source, 1.0, now):
+                self.log_ejection(source)
+        elif result in ("unreachable", "broken"):
+            txn.bad_caches.add(server.name)
+            server.fails = max(server.fails, FAIL_LIMIT)
+            if self.fleet.judge(server, 1.0, now):
+                self.log_ejection(server)
+        elif result in ("full", "missing", "cancelled"):
+            txn.bad_caches.add(server.name)
+
+    def log_ejection(self, server: Server) -> None:
+        self.host.log(f"ejected {server.name} for {(server.ejected_until - self.host.now()) // MS} ms")
+
+    def patience(self, hop: Hop) -> int:
+        return int(QUIET_LEAST + QUIET_TIMES * (hop.work + self.first_byte_after))
+
+    def hop_due(self, hop: Hop) -> None:
+        """Guards against servers that take txns and answer nothing: the server has been silent for too long."""
+        now, server = self.host.now(), hop.server
+        if not hop.out or hop.dropped:
+            return
+        quiet_since = max(server.heard, hop.sent)
+        if now - quiet_since < self.patience(hop):
+            return self.at(quiet_since + self.patience(hop), self.hop_due, hop)
+        if not server.ejected_until or now >= server.ejected_until:
+            server.fails = max(server.fails, FAIL_LIMIT)
+            self.fleet.eject(server, now)
+            self.log_ejection(server)
+        if not self.cancels:
+            return
+        for other in list(server.out.values()):
+            txn = other.txn
+            if not txn.ended and txn.rule.kind != "unrepeatable" and now - other.sent > QUIET_LEAST:
+                self.drop(other)
+
+    # Other things that happen.
+
+    def first_byte(self, ident: int, number: int) -> None:
+        txn = self.txns.get(ident)
+        if txn is not None and txn.leads:
+            flight = self.collapsing.flights[txn.obj, txn.part]
+            for waiter in list(flight.waiters.values()):
+                self.wait_over(waiter)
+
+    def txn_withdrawn(self, ident: int) -> None:
+        txn = self.txns.get(ident)
+        if txn is not None and not txn.ended:
+            self.finish(txn, None)
+
+    def purged(self, obj: str | None, group: int, age: int) -> None:
+        self.purges.note(self.host.now(), obj, group, age)
+
+    def probe_ended(self, server: str, result: str, took: int, load: dict | None) -> None:
+        pass
+
+    def peer_said(self, sender: int, data: bytes) -> None:
+        pass
+
+    def at(self, when: int, what, *about) -> None:
+        self.last_label += 1
+        self.alarms[self.last_label] = (what, about)
+        self.host.wake(self.last_label, when)
+
+    def woken(self, label: int) -> None:
+        what, about = self.alarms.pop(label, (None, ()))
+        if what is not None:
+            what(*about)
--- /dev/null
+++ b/fieldspur/drill/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter: plays the decision module against simulated servers over standard input and output."""
