Hops a cache limited to what fits, spill when crowded, rejection by worth for work

The number that fits is the rating where it means size, and is learned from the pace of hits where sizes are told.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -24,7 +24,9 @@
 KEPT_RANK = 2  # above the lowest rank
 COLD_USE = 0.45  # share of a cold server's budget used: once as its bucket, once more as refill within the span
 ROUGH_RATING = 0.7  # a roughly known size may be this much too large
-SPILL, SPILL_HOPS = 1.5, 2.0  # a cache is over its bound past SPILL times the mean load and so many mean hops
+SPILL, SPILL_GAIN = 2.0, 0.6  # a home with SPILL times the hops that fit passes txns on to one under GAIN of that
+CROWD_LEAST, CROWD_MOST = 1.5, 2.5  # admission: hops over what fits, for a txn of no worth for its work, and on top
+FITS_FIRST, FITS_STEP = 4.0, 0.1  # transfers that fit at full pace before any is learned; weight of one answer
 FAIL_STEP, FAIL_LIMIT = 0.2, 0.35  # weight of one result in a server's failure share; the share that ejects
 FAIL_TIMES = 2.0  # ... if it is also this many times the median of its peers
 SLOW_STEP, SLOW_TIMES = 0.15, 2.5  # weight of one answer in a server's slowness; times its peers' that ejects
@@ -47,7 +49,7 @@
     kind: int = 0
     cell: int = 0
     out: dict = field(default_factory=dict)  # hops out there, oldest first
-    load: int = 0  # their sending time
+    fits: float = FITS_FIRST  # how many of this router's transfers run there at full pace
     rate: float = 0.0  # sending time a second that this router lately asked of it
     rate_at: int = 0
     heard: int = 0  # when it last answered anything
@@ -67,6 +69,7 @@
     source: Server | None
     sent: int
     work: int
+    beside: int  # hops out there when it was sent
     charged: float  # what the source's cold budget was charged
     out: bool = True
     ran: bool = True  # may have run
@@ -82,6 +85,7 @@
     part: int
     group: int
     work: int
+    sized: bool
     sla_at: int
     limit_at: int
     hops: list = field(default_factory=list)
@@ -178,6 +182,8 @@
         s = self.servers.setdefault(name, Server(name))
         if started != s.started:  # a new process: empty, cold, and nothing held against it
             s.fails, s.slowness, s.ejected_until, s.ejections, s.tokens, s.tokens_at = 0.0, 1.0, 0, 0, math.inf, 0
+        if self.size_trust and (rating != s.rating or started != s.started or s.state == "gone"):
+            s.fits = rating * self.cold[False][0]
         s.state, s.started, s.zone, s.rating, s.kind, s.cell = state, started, zone, rating, kind, cell
         if self.listed is not None:
             self.listed.add(name)
@@ -264,22 +270,33 @@
             return True
         return False
 
+    def transferred(self, s: Server, work: int, took: int, beside: float) -> None:
+        """Learn from a hit how many transfers fit: their number, times the share of its full pace that each had."""
+        pace = work / max(work, took - 20 * MS)
+        if (pace < 0.85 and beside >= 2.5) or (pace >= 0.85 and beside > s.fits):
+            s.fits = max(0.5, s.fits + (beside * pace - s.fits) * FITS_STEP)
+
     # Choice.
 
-    def cache_for(self, obj, part, now, work, mean, avoid, allowed) -> Server | None:
-        """The home cache, or as far down its order as health, budgets and the load bound make it go."""
+    def cache_for(self, obj, part, now, mean, crowd, avoid, allowed) -> Server | None:
+        """The home cache, or as far down its order as health, budgets and crowding make it go.
+
+        `crowd` is how many times what fits at full pace may be out there with this txn."""
         able = [s for s in self.ranked(self.caches, obj)
                 if s.state == "up" and allowed(s) and self.has_room(s, now, mean)]
         fit = ([s for s in able if s.name not in avoid and self.healthy(s, now)]
                or [s for s in able if s.name not in avoid] or able)
         if not fit:
             return None
-        loads, weights = sum(s.load for s in fit) + work, sum(self.weight(s) for s in fit)
-        bound = {s.name: SPILL * loads * self.weight(s) / weights + SPILL_HOPS * mean for s in fit}
-        if fit[0].load + work <= bound[fit[0].name]:
+        def crowding(s: Server) -> float:
+            return (len(s.out) + 1) / max(s.fits, 1.0)
+        home = crowding(fit[0])
+        if home <= SPILL:
             return fit[0]
-        # A hot object's home is over its bound: its parts spread, alike at all routers.
-        return next((s for s in self.ranked(fit, f"{obj}#{part}") if s.load + work <= bound[s.name]), fit[0])
+        # A hot object's home is crowded: its parts spread, alike at all routers.
+        spread = self.ranked(fit[1:], f"{obj}#{part}")
+        best = next((s for s in spread if crowding(s) <= SPILL_GAIN * home), fit[0])
+        return best if crowding(best) <= max(crowd, 1.0) else None
 
     def source_for(self, obj, now, charge, avoid) -> Server | None:
         """The first parent of the shared hash, the second while it fails; then the origin."""
@@ -306,6 +323,7 @@
         self.alarms: dict[int, tuple] = {}
         self.last_label = 0
         self.retries = RETRY_MOST
+        self.mean_work, self.mean_importance = float(FIRST_WORK), 1.0
         self.list_begins, self.server_listed, self.list_ends = fleet.list_begins, fleet.server_listed, fleet.list_ends
 
     # A txn's way.
@@ -317,12 +335,15 @@
             habit.work += (work - habit.work) * LEARN
         else:
             work = int(habit.work)
-        txn = Txn(ident, rule, habit, obj, part, group, work, now + rule.sla + int(rule.sla_stretch * work), now + left)
+        txn = Txn(ident, rule, habit, obj, part, group, work, kb > 0,
+                  now + rule.sla + int(rule.sla_stretch * work), now + left)
         self.txns[ident] = txn
         self.retries = min(RETRY_MOST, self.retries + RETRY_SHARE)
         if rule.never_kept:  # nothing to share: straight through a cache to the origin
             return self.send(txn)
-        home = self.fleet.cache_for(obj, part, now, work, habit.work, (), lambda s: True)
+        self.mean_work += (work - self.mean_work) * LEARN
+        self.mean_importance += (rule.importance - self.mean_importance) * LEARN
+        home = self.fleet.cache_for(obj, part, now, habit.work, math.inf, (), lambda s: True)
         key, purged = (obj, part), self.purges.latest(now, obj, group)
         if home is None or self.collapsing.is_known(key, home, now, purged):
             return self.send(txn)  # the first cache check finds it
@@ -356,9 +377,10 @@
         if txn.ended or now >= txn.limit_at or len(txn.hops) >= self.hop_limit or any(h.out for h in txn.hops):
             return None if txn.ended or any(h.out for h in txn.hops) else self.give_up(txn)
         mean = max(txn.habit.work, txn.work)
-        server = self.fleet.cache_for(txn.obj, txn.part, now, txn.work, mean, txn.bad_caches,
-                                      lambda s: self.may_send(txn, s, now))
-        if server is None:
+        worth = rule.importance / self.mean_importance * self.mean_work / max(txn.work, MS)
+        server = self.fleet.cache_for(txn.obj, txn.part, now, mean, CROWD_LEAST + min(CROWD_MOST, worth),
+                                      txn.bad_caches, lambda s: self.may_send(txn, s, now))
+        if server is None:  # nowhere to go, or too crowded for what the txn is worth
             return self.give_up(txn)
         if rule.never_kept:
             source, rank, charged = self.fleet.origin, 0, 0.0
@@ -372,16 +394,17 @@
         if self.fleet.is_cold(server, now):
             server.tokens -= mean
         self.fleet.carried(server, txn.work, now)
-        hop = Hop(txn, len(txn.hops), server, source, now, txn.work, charged)
+        hop = Hop(txn, len(txn.hops), server, source, now, txn.work, len(server.out), charged)
         if not server.out:
             server.heard = max(server.heard, now)  # nothing was owed until now
         txn.hops.append(hop)
         server.out[txn.ident, hop.number] = hop
-        server.load += hop.work
         age = 0 if rule.never_kept else self.purges.oldest_copy(now, txn.obj, txn.group, rule.fresh)
         self.host.hop(txn.ident, server.name, txn.limit_at, source.name if source else None, rank, age,
                       self.joins and not rule.never_kept, rule.fresh > 0)
         self.at(now + self.patience(hop), self.hop_due, hop)
+        if txn.sla_at < txn.limit_at:
+            self.at(max(now + 2 * MS, txn.sla_at), self.hop_late, hop)
 
     def may_send(self, txn: Txn, server: Server, now: int) -> bool:
         """Guards against an effect that happens twice."""
@@ -447,7 +470,6 @@
         hop = txn.hops[number]
         hop.out, hop.ran = False, result not in NEVER_RAN
         hop.server.out.pop((ident, number), None)
-        hop.server.load -= hop.work
         self.learn(hop, result, took, note, waited, now)
         if txn.ended:
             if not any(h.out for h in txn.hops):
@@ -477,6 +499,8 @@
         if result == "completed":
             if self.fleet.judge(server, 0.0, now):
                 self.log_ejection(server)
+            if self.kb_per_s and note == HIT and hop.work > 50 * MS and txn.sized:
+                self.fleet.transferred(server, hop.work, took, (hop.beside + len(server.out)) / 2 + 1)
             spent = max(0, took - (waited or 0))
             if self.fleet.pace(server, spent / (txn.work + 50 * MS), now):
                 self.log_ejection(server)
@@ -533,6 +557,12 @@
             if not txn.ended and txn.rule.kind != "unrepeatable" and now - other.sent > QUIET_LEAST:
                 self.drop(other)
 
+    def hop_late(self, hop: Hop) -> None:
+        """Guards against jams of late answers: on a crowded cache a txn past its SLA time makes room."""
+        if hop.out and not hop.txn.ended and len(hop.server.out) > hop.server.fits and (
+                hop.txn.sized or hop.txn.rule.never_kept):
+            self.give_up(hop.txn)
+
     # Other things that happen.
 
     def first_byte(self, ident: int, number: int) -> None:
