--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -403,8 +403,6 @@
         self.host.hop(txn.ident, server.name, txn.limit_at, source.name if source else None, rank, age,
                       self.joins and not rule.never_kept, rule.fresh > 0)
         self.at(now + self.patience(hop), self.hop_due, hop)
-        if txn.sla_at < txn.limit_at:
-            self.at(max(now + 2 * MS, txn.sla_at), self.hop_late, hop)
 
     def may_send(self, txn: Txn, server: Server, now: int) -> bool:
         """Guards against an effect that happens twice."""
@@ -557,12 +555,6 @@
             if not txn.ended and txn.rule.kind != "unrepeatable" and now - other.sent > QUIET_LEAST:
                 self.drop(other)
 
-    def hop_late(self, hop: Hop) -> None:
-        """Guards against jams of late answers: on a crowded cache a txn past its SLA time makes room."""
-        if hop.out and not hop.txn.ended and len(hop.server.out) > hop.server.fits and (
-                hop.txn.sized or hop.txn.rule.never_kept):
-            self.give_up(hop.txn)
-
     # Other things that happen.
 
     def first_byte(self, ident: int, number: int) -> None:
