Caches are not ejected for slowness; crowding answers it

Cause: where sizes are not told the slowness of single answers is noise, and ejecting a busy cache moved its load on. Conclusion: kept; a slow cache holds more hops, so spilling and the learned number that fits move txns away from it.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -499,9 +499,6 @@
                 self.log_ejection(server)
             if self.kb_per_s and note == HIT and hop.work > 50 * MS and txn.sized:
                 self.fleet.transferred(server, hop.work, took, (hop.beside + len(server.out)) / 2 + 1)
-            spent = max(0, took - (waited or 0))
-            if self.fleet.pace(server, spent / (txn.work + 50 * MS), now):
-                self.log_ejection(server)
             if note in (FILLED, FILLED_BY_ORIGIN) and source is not None:
                 self.fleet.carried(source, txn.work, now)
                 self.fleet.judge(source, 0.0, now)
