--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -27,6 +27,7 @@
 SPILL, SPILL_GAIN = 2.0, 0.6  # a home with SPILL times the hops that fit passes txns on to one under GAIN of that
 CROWD_LEAST, CROWD_MOST = 1.5, 2.5  # admission: hops over what fits, for a txn of no worth for its work, and on top
 FITS_FIRST, FITS_STEP = 4.0, 0.1  # transfers that fit at full pace before any is learned; weight of one answer
+LINK_FIRST = 0.5  # fills that fit on the way in, over what fits at the caches, before any is learned
 FAIL_STEP, FAIL_LIMIT = 0.2, 0.35  # weight of one result in a server's failure share; the share that ejects
 FAIL_TIMES = 2.0  # ... if it is also this many times the median of its peers
 SLOW_STEP, SLOW_TIMES = 0.15, 2.5  # weight of one answer in a server's slowness; times its peers' that ejects
@@ -49,6 +50,7 @@
     kind: int = 0
     cell: int = 0
     out: dict = field(default_factory=dict)  # hops out there, oldest first
+    filling: float = 0.0  # how many of them are expected to be filled
     fits: float = FITS_FIRST  # how many of this router's transfers run there at full pace
     rate: float = 0.0  # sending time a second that this router lately asked of it
     rate_at: int = 0
@@ -70,6 +72,7 @@
     sent: int
     work: int
     beside: int  # hops out there when it was sent
+    filling: float  # how likely it is to be filled
     charged: float  # what the source's cold budget was charged
     out: bool = True
     ran: bool = True  # may have run
@@ -162,11 +165,13 @@
     """The listed servers: their states, health, loads and cold budgets."""
 
     def __init__(self, zone: int, parent_kind: int, origin_kind: int, sized: str, cache_share: float,
-                 parent_share: float, cache_cold: tuple, parent_cold: tuple, fall_span: int):
+                 parent_share: float, cache_cold: tuple, parent_cold: tuple, fall_span: int, link: float):
         self.zone, self.parent_kind, self.origin_kind = zone, parent_kind, origin_kind
         self.size_trust = {"nominal": 1.0, "rough": ROUGH_RATING}.get(sized, 0.0)
         self.cold = {False: (cache_share, *cache_cold), True: (parent_share, *parent_cold)}
         self.fall_span = fall_span
+        self.link_fits = link * cache_share  # fills that this router's share of the way in takes at full pace
+        self.miss_share = 0.5  # of the txns for objects not known to be at home
         self.servers: dict[str, Server] = {}
         self.caches: list[Server] = []
         self.parents: list[Server] = []
@@ -192,6 +197,8 @@
         for s in self.servers.values():
             if self.listed is not None and s.name not in self.listed:
                 s.state = "gone"  # absence from a complete list is a removal
+        if not self.link_fits:  # not told: a first guess, learned from there
+            self.link_fits = LINK_FIRST * sum(s.fits for s in self.servers.values() if s.zone == self.zone)
         here = sorted((s for s in self.servers.values() if s.state != "gone"), key=lambda s: s.name)
         self.parents = [s for s in here if s.kind == self.parent_kind]
         self.origin = next((s for s in here if s.kind == self.origin_kind), None)
@@ -276,12 +283,25 @@
         if (pace < 0.85 and beside >= 2.5) or (pace >= 0.85 and beside > s.fits):
             s.fits = max(0.5, s.fits + (beside * pace - s.fits) * FITS_STEP)
 
+    def filled(self, work: int, took: int, beside: float) -> None:
+        """The same for fills: what the way in takes, be its bottleneck the link, the parents or the origin."""
+        pace = work / max(work, took - 20 * MS)
+        if (pace < 0.85 and beside >= 2.5) or (pace >= 0.85 and beside > self.link_fits):
+            self.link_fits = max(1.0, self.link_fits + (beside * pace - self.link_fits) * FITS_STEP)
+
+    def link_crowding(self, more: float) -> float:
+        return (sum(s.filling for s in self.caches) + more) / max(1.0, self.link_fits)
+
     # Choice.
 
-    def cache_for(self, obj, part, now, mean, crowd, avoid, allowed) -> Server | None:
+    def cache_for(self, obj, part, now, mean, crowd, filling, avoid, allowed) -> Server | None:
         """The home cache, or as far down its order as health, budgets and crowding make it go.
 
-        `crowd` is how many times what fits at full pace may be out there with this txn."""
+        `crowd` is how many times what fits at full pace may be out with this txn, at a cache or on the way in;
+        `filling` is how likely the txn is to need the way in."""
+        link = self.link_crowding(filling)
+        if filling and link > crowd:
+            return None  # guards the way in against more misses than it takes, whatever made them
         able = [s for s in self.ranked(self.caches, obj)
                 if s.state == "up" and allowed(s) and self.has_room(s, now, mean)]
         fit = ([s for s in able if s.name not in avoid and self.healthy(s, now)]
@@ -289,9 +309,10 @@
         if not fit:
             return None
         def crowding(s: Server) -> float:
-            return (len(s.out) + 1) / max(s.fits, 1.0)
+            idle = s.filling * (1 - 1 / max(1.0, link))  # fills held up on the way leave the cache's own link idle
+            return (len(s.out) + 1 - idle) / max(s.fits, 1.0)
         home = crowding(fit[0])
-        if home <= SPILL:
+        if home <= SPILL or (link > 1 and home <= crowd):  # a part that spreads must be filled once more
             return fit[0]
         # A hot object's home is crowded: its parts spread, alike at all routers.
         spread = self.ranked(fit[1:], f"{obj}#{part}")
@@ -343,10 +364,10 @@
             return self.send(txn)
         self.mean_work += (work - self.mean_work) * LEARN
         self.mean_importance += (rule.importance - self.mean_importance) * LEARN
-        home = self.fleet.cache_for(obj, part, now, habit.work, math.inf, (), lambda s: True)
+        home = self.fleet.cache_for(obj, part, now, habit.work, math.inf, 0.0, (), lambda s: True)
         key, purged = (obj, part), self.purges.latest(now, obj, group)
-        if home is None or self.collapsing.is_known(key, home, now, purged):
-            return self.send(txn)  # the first cache check finds it
+        if home is not None and self.collapsing.is_known(key, home, now, purged):
+            return self.send(txn, known=True)  # the first cache check finds it
         flight = self.collapsing.flights.get(key)
         if flight is None:
             self.collapsing.flights[key] = Flight(txn, now)
@@ -363,7 +384,7 @@
     def wait_over(self, txn: Txn) -> None:
         if txn.waits and not txn.ended:
             self.leave_list(txn)
-            self.send(txn)
+            self.send(txn, known=True)
 
     def leave_list(self, txn: Txn) -> None:
         flight = self.collapsing.flights.get((txn.obj, txn.part))
@@ -371,14 +392,17 @@
             flight.waiters.pop(txn.ident, None)
         txn.waits = False
 
-    def send(self, txn: Txn) -> None:
-        """Send the txn on its next hop, or end it at once if there is nowhere to go."""
+    def send(self, txn: Txn, known: bool = False) -> None:
+        """Send the txn on its next hop, or end it at once if there is nowhere to go.
+
+        `known`: it is expected to hit, or to join a fill."""
         now, rule = self.host.now(), txn.rule
         if txn.ended or now >= txn.limit_at or len(txn.hops) >= self.hop_limit or any(h.out for h in txn.hops):
             return None if txn.ended or any(h.out for h in txn.hops) else self.give_up(txn)
         mean = max(txn.habit.work, txn.work)
         worth = rule.importance / self.mean_importance * self.mean_work / max(txn.work, MS)
-        server = self.fleet.cache_for(txn.obj, txn.part, now, mean, CROWD_LEAST + min(CROWD_MOST, worth),
+        filling = 0.0 if known or rule.never_kept else self.fleet.miss_share
+        server = self.fleet.cache_for(txn.obj, txn.part, now, mean, CROWD_LEAST + min(CROWD_MOST, worth), filling,
                                       txn.bad_caches, lambda s: self.may_send(txn, s, now))
         if server is None:  # nowhere to go, or too crowded for what the txn is worth
             return self.give_up(txn)
@@ -394,11 +418,12 @@
         if self.fleet.is_cold(server, now):
             server.tokens -= mean
         self.fleet.carried(server, txn.work, now)
-        hop = Hop(txn, len(txn.hops), server, source, now, txn.work, len(server.out), charged)
+        hop = Hop(txn, len(txn.hops), server, source, now, txn.work, len(server.out), filling, charged)
         if not server.out:
             server.heard = max(server.heard, now)  # nothing was owed until now
         txn.hops.append(hop)
         server.out[txn.ident, hop.number] = hop
+        server.filling += filling
         age = 0 if rule.never_kept else self.purges.oldest_copy(now, txn.obj, txn.group, rule.fresh)
         self.host.hop(txn.ident, server.name, txn.limit_at, source.name if source else None, rank, age,
                       self.joins and not rule.never_kept, rule.fresh > 0)
@@ -451,7 +476,7 @@
             return self.send(heir)
         for waiter in list(flight.waiters.values()):
             waiter.waits = False
-            self.send(waiter)
+            self.send(waiter, known=True)
 
     def drop(self, hop: Hop) -> None:
         if not hop.dropped:
@@ -468,6 +493,7 @@
         hop = txn.hops[number]
         hop.out, hop.ran = False, result not in NEVER_RAN
         hop.server.out.pop((ident, number), None)
+        hop.server.filling -= hop.filling
         self.learn(hop, result, took, note, waited, now)
         if txn.ended:
             if not any(h.out for h in txn.hops):
@@ -497,8 +523,17 @@
         if result == "completed":
             if self.fleet.judge(server, 0.0, now):
                 self.log_ejection(server)
-            if self.kb_per_s and note == HIT and hop.work > 50 * MS and txn.sized:
-                self.fleet.transferred(server, hop.work, took, (hop.beside + len(server.out)) / 2 + 1)
+            beside = (hop.beside + len(server.out)) / 2 + 1
+            if note == HIT and txn.sized and hop.work > 50 * MS:
+                self.fleet.transferred(server, hop.work, took, beside)
+            elif note == HIT and not txn.sized:  # sizes are not told: what a hit took, less what others took of it
+                alone = max(0, took - 20 * MS) * min(1.0, server.fits / beside)
+                txn.habit.work += (alone - txn.habit.work) * LEARN
+            if hop.filling and note:
+                self.fleet.miss_share += ((note in (FILLED, FILLED_BY_ORIGIN)) - self.fleet.miss_share) * LEARN
+            if note in (FILLED, FILLED_BY_ORIGIN) and txn.sized and hop.work > 50 * MS:
+                wait = waited if waited is not None else int(self.first_byte_after)
+                self.fleet.filled(hop.work, took - wait, self.fleet.link_crowding(1) * self.fleet.link_fits)
             if note in (FILLED, FILLED_BY_ORIGIN) and source is not None:
                 self.fleet.carried(source, txn.work, now)
                 self.fleet.judge(source, 0.0, now)
@@ -531,7 +566,9 @@
         self.host.log(f"ejected {server.name} for {(server.ejected_until - self.host.now()) // MS} ms")
 
     def patience(self, hop: Hop) -> int:
-        return int(QUIET_LEAST + QUIET_TIMES * (hop.work + self.first_byte_after))
+        """How long a server may stay silent with this hop out, the more the more it has to do."""
+        crowding = max(1.0, hop.beside / max(1.0, hop.server.fits))
+        return int(QUIET_LEAST + QUIET_TIMES * (hop.work * crowding + self.first_byte_after))
 
     def hop_due(self, hop: Hop) -> None:
         """Guards against servers that take txns and answer nothing: the server has been silent for too long."""
--- a/fieldspur/drill/codec.py
+++ b/fieldspur/drill/codec.py
@@ -86,7 +86,8 @@
             parent_share=1 / max(1, conf["replicasOfMe"]),
             cache_cold=(float(sure["coldFrom"]), sure["rampTimeUs"] * US, float(sure["fallMultiple"])),
             parent_cold=(float(info["upperColdFrom"]), info["parentRampUs"] * US, float(info["upperFallMultiple"])),
-            fall_span=sure["overloadForUs"] * US)
+            fall_span=sure["overloadForUs"] * US,
+            link=info["pipeKbPerS"][conf["zone"]] / max(1.0, info["clientKbPerS"]))
         self.router = Router(
             self, seed, rules, fleet, Purges(info["goneEverywhereUs"] * US), Collapsing(),
             kb_per_s=float(info["clientKbPerS"]), hop_limit=may["sendCap"], joins=bool(info["mergesFills"]),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -19,7 +19,7 @@
         self.txns, self.alarms, self.sends, self.lines = {}, [], [], []
         self.servers, self.purges = {}, []
         fleet = Fleet(zone=1, parent_kind=1, origin_kind=2, sized=sized, cache_share=0.5, parent_share=0.25,
-                      cache_cold=(COLD, RAMP, MULTIPLE), parent_cold=(COLD, RAMP, MULTIPLE), fall_span=SPAN)
+                      cache_cold=(COLD, RAMP, MULTIPLE), parent_cold=(COLD, RAMP, MULTIPLE), fall_span=SPAN, link=20.0)
         self.router = Router(self, 7, self.rules, fleet, Purges(GONE_EVERYWHERE), Collapsing(), kb_per_s=kb_per_s,
                              hop_limit=8, joins=True, siblings=True, probes=False, cancels=True,
                              longest_come_back=come_back)
