Spread parts are filled from their home cache where siblings may supply fills

Cause: a hot object's spread parts came over the full way in, and each spread made its part unknown again.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -147,29 +147,30 @@
 
     def __init__(self):
         self.flights: dict[tuple, Flight] = {}
-        self.known: dict[tuple, tuple[str, int, int]] = {}
+        self.known: dict[tuple, tuple[int, int, int]] = {}
 
     def answered(self, key, server: Server, now: int, fresh: int) -> None:
-        self.known.pop(key, None)
-        self.known[key] = (server.name, server.started, now + min(KNOWN_SPAN, fresh or KNOWN_SPAN))
+        entry = (*key, server.name)
+        self.known.pop(entry, None)
+        self.known[entry] = (server.started, now, now + min(KNOWN_SPAN, fresh or KNOWN_SPAN))
         if len(self.known) > KNOWN_MOST:
             del self.known[next(iter(self.known))]
 
     def is_known(self, key, server: Server, now: int, purged: int) -> bool:
-        name, started, until = self.known.get(key, ("", 0, 0))
-        return (name == server.name and started == server.started and now < until
-                and purged < until - KNOWN_SPAN)
+        started, since, until = self.known.get((*key, server.name), (0, 0, 0))
+        return started == server.started and now < until and purged < since
 
 
 class Fleet:
     """The listed servers: their states, health, loads and cold budgets."""
 
     def __init__(self, zone: int, parent_kind: int, origin_kind: int, sized: str, cache_share: float,
-                 parent_share: float, cache_cold: tuple, parent_cold: tuple, fall_span: int, link: float):
+                 parent_share: float, cache_cold: tuple, parent_cold: tuple, fall_span: int, link: float,
+                 siblings: bool):
         self.zone, self.parent_kind, self.origin_kind = zone, parent_kind, origin_kind
         self.size_trust = {"nominal": 1.0, "rough": ROUGH_RATING}.get(sized, 0.0)
         self.cold = {False: (cache_share, *cache_cold), True: (parent_share, *parent_cold)}
-        self.fall_span = fall_span
+        self.fall_span, self.siblings = fall_span, siblings
         self.link_fits = link * cache_share  # fills that this router's share of the way in takes at full pace
         self.miss_share = 0.5  # of the txns for objects not known to be at home
         self.servers: dict[str, Server] = {}
@@ -312,7 +313,7 @@
             idle = s.filling * (1 - 1 / max(1.0, link))  # fills held up on the way leave the cache's own link idle
             return (len(s.out) + 1 - idle) / max(s.fits, 1.0)
         home = crowding(fit[0])
-        if home <= SPILL or (link > 1 and home <= crowd):  # a part that spreads must be filled once more
+        if home <= SPILL or (link > 1 and home <= crowd and not self.siblings):  # the way in has no room to spread
             return fit[0]
         # A hot object's home is crowded: its parts spread, alike at all routers.
         spread = self.ranked(fit[1:], f"{obj}#{part}")
@@ -332,11 +333,11 @@
     """One router's decisions. It shares nothing with other routers."""
 
     def __init__(self, host: Host, seed: int, rules: list[RemapRule], fleet: Fleet, purges: Purges,
-                 collapsing: Collapsing, kb_per_s: float, hop_limit: int, joins: bool, siblings: bool, probes: bool,
+                 collapsing: Collapsing, kb_per_s: float, hop_limit: int, joins: bool, probes: bool,
                  cancels: bool, longest_come_back: int):
         self.host, self.rules, self.fleet, self.purges, self.collapsing = host, rules, fleet, purges, collapsing
         self.random = random.Random(seed)
-        self.kb_per_s, self.hop_limit, self.joins, self.siblings = kb_per_s, hop_limit, joins, siblings
+        self.kb_per_s, self.hop_limit, self.joins = kb_per_s, hop_limit, joins
         self.probes, self.cancels, self.longest_come_back = probes, cancels, longest_come_back
         self.habits = [Habit() for _ in rules]
         self.first_byte_after, self.first_byte_spread = float(FIRST_BYTE), FIRST_BYTE / 2
@@ -411,7 +412,14 @@
             if source is not None and source.state != "up":
                 return self.give_up(txn)
         else:
-            source, rank = self.fleet.source_for(txn.obj, now, mean, txn.bad_sources), KEPT_RANK
+            home, rank = self.fleet.ranked(self.fleet.caches, txn.obj)[0], KEPT_RANK
+            purged = self.purges.latest(now, txn.obj, txn.group)
+            if (server is not home and self.fleet.siblings and home.state == "up" and home.name not in txn.bad_sources
+                    and self.fleet.healthy(home, now) and not self.fleet.is_cold(home, now)
+                    and self.collapsing.is_known((txn.obj, txn.part), home, now, purged)):
+                source, filling = home, 0.0  # a spread part comes from its home, not over the way in
+            else:
+                source = self.fleet.source_for(txn.obj, now, mean, txn.bad_sources)
             charged = mean if source is not None and self.fleet.is_cold(source, now) else 0.0
         if source is not None:
             source.tokens -= charged
@@ -559,6 +567,8 @@
             server.fails = max(server.fails, FAIL_LIMIT)
             if self.fleet.judge(server, 1.0, now):
                 self.log_ejection(server)
+        elif result == "missing" and source in self.fleet.caches:
+            txn.bad_sources.add(source.name)
         elif result in ("full", "missing", "cancelled"):
             txn.bad_caches.add(server.name)
 
--- a/fieldspur/drill/codec.py
+++ b/fieldspur/drill/codec.py
@@ -87,11 +87,11 @@
             cache_cold=(float(sure["coldFrom"]), sure["rampTimeUs"] * US, float(sure["fallMultiple"])),
             parent_cold=(float(info["upperColdFrom"]), info["parentRampUs"] * US, float(info["upperFallMultiple"])),
             fall_span=sure["overloadForUs"] * US,
-            link=info["pipeKbPerS"][conf["zone"]] / max(1.0, info["clientKbPerS"]))
+            link=info["pipeKbPerS"][conf["zone"]] / max(1.0, info["clientKbPerS"]), siblings=info["siblings"] != "none")
         self.router = Router(
             self, seed, rules, fleet, Purges(info["goneEverywhereUs"] * US), Collapsing(),
             kb_per_s=float(info["clientKbPerS"]), hop_limit=may["sendCap"], joins=bool(info["mergesFills"]),
-            siblings=info["siblings"] != "none", probes=bool(may["probes"]), cancels=bool(may["cancel"]),
+            probes=bool(may["probes"]), cancels=bool(may["cancel"]),
             longest_come_back=may["maxRetryAfterUs"] * US if may["retryAfter"] else 0)
 
     # The host interface.
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -19,9 +19,9 @@
         self.txns, self.alarms, self.sends, self.lines = {}, [], [], []
         self.servers, self.purges = {}, []
         fleet = Fleet(zone=1, parent_kind=1, origin_kind=2, sized=sized, cache_share=0.5, parent_share=0.25,
-                      cache_cold=(COLD, RAMP, MULTIPLE), parent_cold=(COLD, RAMP, MULTIPLE), fall_span=SPAN, link=20.0)
+                      cache_cold=(COLD, RAMP, MULTIPLE), parent_cold=(COLD, RAMP, MULTIPLE), fall_span=SPAN, link=20.0, siblings=True)
         self.router = Router(self, 7, self.rules, fleet, Purges(GONE_EVERYWHERE), Collapsing(), kb_per_s=kb_per_s,
-                             hop_limit=8, joins=True, siblings=True, probes=False, cancels=True,
+                             hop_limit=8, joins=True, probes=False, cancels=True,
                              longest_come_back=come_back)
         self.list_servers({f"c{n}": (1, 0, n % 2) for n in range(caches)} | {f"p{n}": (0, 1, 0) for n in range(2)}
                           | {"origin": (0, 2, 0)}, complete=True)
