--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -95,6 +95,7 @@
     leads: bool = False
     waits: bool = False
     ended: bool = False
+    hopeless: bool = False  # it would have to be filled, and may not
     bad_caches: set = field(default_factory=set)
     bad_sources: set = field(default_factory=set)
 
@@ -295,14 +296,11 @@
 
     # Choice.
 
-    def cache_for(self, obj, part, now, mean, crowd, filling, avoid, allowed) -> Server | None:
+    def cache_for(self, obj, part, now, mean, crowd, avoid, allowed) -> Server | None:
         """The home cache, or as far down its order as health, budgets and crowding make it go.
 
-        `crowd` is how many times what fits at full pace may be out with this txn, at a cache or on the way in;
-        `filling` is how likely the txn is to need the way in."""
-        link = self.link_crowding(filling)
-        if filling and link > crowd:
-            return None  # guards the way in against more misses than it takes, whatever made them
+        `crowd` is how many times what fits at full pace may be out there with this txn."""
+        link = self.link_crowding(0)
         able = [s for s in self.ranked(self.caches, obj)
                 if s.state == "up" and allowed(s) and self.has_room(s, now, mean)]
         fit = ([s for s in able if s.name not in avoid and self.healthy(s, now)]
@@ -365,7 +363,7 @@
             return self.send(txn)
         self.mean_work += (work - self.mean_work) * LEARN
         self.mean_importance += (rule.importance - self.mean_importance) * LEARN
-        home = self.fleet.cache_for(obj, part, now, habit.work, math.inf, 0.0, (), lambda s: True)
+        home = self.fleet.cache_for(obj, part, now, habit.work, math.inf, (), lambda s: True)
         key, purged = (obj, part), self.purges.latest(now, obj, group)
         if home is not None and self.collapsing.is_known(key, home, now, purged):
             return self.send(txn, known=True)  # the first cache check finds it
@@ -403,8 +401,8 @@
         mean = max(txn.habit.work, txn.work)
         worth = rule.importance / self.mean_importance * self.mean_work / max(txn.work, MS)
         filling = 0.0 if known or rule.never_kept else self.fleet.miss_share
-        server = self.fleet.cache_for(txn.obj, txn.part, now, mean, CROWD_LEAST + min(CROWD_MOST, worth), filling,
-                                      txn.bad_caches, lambda s: self.may_send(txn, s, now))
+        crowd = CROWD_LEAST + min(CROWD_MOST, worth)
+        server = self.fleet.cache_for(txn.obj, txn.part, now, mean, crowd, txn.bad_caches, lambda s: self.may_send(txn, s, now))
         if server is None:  # nowhere to go, or too crowded for what the txn is worth
             return self.give_up(txn)
         if rule.never_kept:
@@ -418,6 +416,10 @@
                     and self.fleet.healthy(home, now) and not self.fleet.is_cold(home, now)
                     and self.collapsing.is_known((txn.obj, txn.part), home, now, purged)):
                 source, filling = home, 0.0  # a spread part comes from its home, not over the way in
+            elif filling and self.fleet.link_crowding(filling) > crowd:
+                # Guards the way in against more misses than it takes, whatever made them: what is kept, or being
+                # filled, is still answered, and only what would begin one more fill is given up.
+                source, filling = server, 0.0
             else:
                 source = self.fleet.source_for(txn.obj, now, mean, txn.bad_sources)
             charged = mean if source is not None and self.fleet.is_cold(source, now) else 0.0
@@ -510,7 +512,7 @@
             self.finish(txn, hop.server if result == "completed" else None)
         elif any(h.out for h in txn.hops):
             return
-        elif now >= txn.limit_at - 2 * MS or result == "timed_out" or not self.may_retry(hop):
+        elif now >= txn.limit_at - 2 * MS or result == "timed_out" or txn.hopeless or not self.may_retry(hop):
             self.give_up(txn)
         else:
             self.send(txn)
@@ -568,6 +570,8 @@
             if self.fleet.judge(server, 1.0, now):
                 self.log_ejection(server)
         elif result == "missing" and source in self.fleet.caches:
+            if source is server:
+                txn.hopeless = True
             txn.bad_sources.add(source.name)
         elif result in ("full", "missing", "cancelled"):
             txn.bad_caches.add(server.name)
