--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -27,6 +27,7 @@
 SPILL, SPILL_GAIN = 2.0, 0.6  # a home with SPILL times the hops that fit passes txns on to one under GAIN of that
 CROWD_LEAST, CROWD_MOST = 1.5, 2.5  # admission: hops over what fits, for a txn of no worth for its work, and on top
 FITS_FIRST, FITS_STEP = 4.0, 0.1  # transfers that fit at full pace before any is learned; weight of one answer
+DUE_WAIT = 100 * MS  # a fill's wait for its source that counts as usual
 LINK_FIRST = 0.5  # fills that fit on the way in, over what fits at the caches, before any is learned
 FAIL_STEP, FAIL_LIMIT = 0.2, 0.35  # weight of one result in a server's failure share; the share that ejects
 FAIL_TIMES = 2.0  # ... if it is also this many times the median of its peers
@@ -96,6 +97,7 @@
     waits: bool = False
     ended: bool = False
     hopeless: bool = False  # it would have to be filled, and may not
+    past_fresh: bool = False  # a copy within its grace will do
     bad_caches: set = field(default_factory=set)
     bad_sources: set = field(default_factory=set)
 
@@ -287,7 +289,7 @@
 
     def filled(self, work: int, took: int, beside: float) -> None:
         """The same for fills: what the way in takes, be its bottleneck the link, the parents or the origin."""
-        pace = work / max(work, took - 20 * MS)
+        pace = work / max(work, took - DUE_WAIT)
         if (pace < 0.85 and beside >= 2.5) or (pace >= 0.85 and beside > self.link_fits):
             self.link_fits = max(1.0, self.link_fits + (beside * pace - self.link_fits) * FITS_STEP)
 
@@ -419,7 +421,7 @@
             elif filling and self.fleet.link_crowding(filling) > crowd:
                 # Guards the way in against more misses than it takes, whatever made them: what is kept, or being
                 # filled, is still answered, and only what would begin one more fill is given up.
-                source, filling = server, 0.0
+                source, filling, txn.past_fresh = server, 0.0, True
             else:
                 source = self.fleet.source_for(txn.obj, now, mean, txn.bad_sources)
             charged = mean if source is not None and self.fleet.is_cold(source, now) else 0.0
@@ -434,7 +436,11 @@
         txn.hops.append(hop)
         server.out[txn.ident, hop.number] = hop
         server.filling += filling
-        age = 0 if rule.never_kept else self.purges.oldest_copy(now, txn.obj, txn.group, rule.fresh)
+        # A copy past its fresh time earns less: only after a failed fill, or while the way in is full.
+        span = rule.fresh + rule.grace if txn.past_fresh and rule.fresh and rule.grace else rule.fresh
+        age = 0 if rule.never_kept else self.purges.oldest_copy(now, txn.obj, txn.group, span)
+        if not age and span > rule.fresh:
+            age = span
         self.host.hop(txn.ident, server.name, txn.limit_at, source.name if source else None, rank, age,
                       self.joins and not rule.never_kept, rule.fresh > 0)
         self.at(now + self.patience(hop), self.hop_due, hop)
@@ -542,8 +548,7 @@
             if hop.filling and note:
                 self.fleet.miss_share += ((note in (FILLED, FILLED_BY_ORIGIN)) - self.fleet.miss_share) * LEARN
             if note in (FILLED, FILLED_BY_ORIGIN) and txn.sized and hop.work > 50 * MS:
-                wait = waited if waited is not None else int(self.first_byte_after)
-                self.fleet.filled(hop.work, took - wait, self.fleet.link_crowding(1) * self.fleet.link_fits)
+                self.fleet.filled(hop.work, took, self.fleet.link_crowding(1) * self.fleet.link_fits)
             if note in (FILLED, FILLED_BY_ORIGIN) and source is not None:
                 self.fleet.carried(source, txn.work, now)
                 self.fleet.judge(source, 0.0, now)
@@ -554,6 +559,7 @@
                 if self.fleet.pace(source, (wait + 20 * MS) / (self.first_byte_after + 20 * MS), now):
                     self.log_ejection(source)
         elif note in (SOURCE_REFUSED, SOURCE_LOST, SOURCE_LACKS, ORIGIN_FAILED):
+            txn.past_fresh = True
             if source is not None:
                 txn.bad_sources.add(source.name)
                 if note in (SOURCE_REFUSED, SOURCE_LOST) and self.fleet.judge(source, 1.0, now):
