--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -24,7 +24,7 @@
 KEPT_RANK = 2  # above the lowest rank
 COLD_USE = 0.45  # share of a cold server's budget used: once as its bucket, once more as refill within the span
 ROUGH_RATING = 0.7  # a roughly known size may be this much too large
-SPILL, SPILL_GAIN = 2.0, 0.6  # a home with SPILL times the hops that fit passes txns on to one under GAIN of that
+SPILL, SPILL_NEAR, SPILL_GAIN = 2.0, 1.3, 0.6  # home passes txns on beyond (NEAR: filled from it), to under GAIN of its crowd
 CROWD_LEAST, CROWD_MOST = 1.5, 2.5  # admission: hops over what fits, for a txn of no worth for its work, and on top
 FITS_FIRST, FITS_STEP = 4.0, 0.1  # transfers that fit at full pace before any is learned; weight of one answer
 DUE_WAIT = 100 * MS  # a fill's wait for its source that counts as usual
@@ -313,7 +313,7 @@
             idle = s.filling * (1 - 1 / max(1.0, link))  # fills held up on the way leave the cache's own link idle
             return (len(s.out) + 1 - idle) / max(s.fits, 1.0)
         home = crowding(fit[0])
-        if home <= SPILL or (link > 1 and home <= crowd and not self.siblings):  # the way in has no room to spread
+        if home <= (SPILL_NEAR if self.siblings else SPILL) or (link > 1 and home <= crowd and not self.siblings):  # the way in has no room to spread
             return fit[0]
         # A hot object's home is crowded: its parts spread, alike at all routers.
         spread = self.ranked(fit[1:], f"{obj}#{part}")
