--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -27,6 +27,7 @@
 SPILL, SPILL_NEAR, SPILL_GAIN = 2.0, 1.3, 0.6  # home passes txns on beyond (NEAR: filled from it), to under GAIN of its crowd
 CROWD_LEAST, CROWD_MOST = 1.5, 2.5  # admission: hops over what fits, for a txn of no worth for its work, and on top
 FITS_FIRST, FITS_STEP = 4.0, 0.1  # transfers that fit at full pace before any is learned; weight of one answer
+FILL_LATE = 0.8  # how likely a hop out for longer than a hit takes is being filled
 DUE_WAIT = 100 * MS  # a fill's wait for its source that counts as usual
 LINK_FIRST = 0.5  # fills that fit on the way in, over what fits at the caches, before any is learned
 FAIL_STEP, FAIL_LIMIT = 0.2, 0.35  # weight of one result in a server's failure share; the share that ejects
@@ -51,7 +52,6 @@
     kind: int = 0
     cell: int = 0
     out: dict = field(default_factory=dict)  # hops out there, oldest first
-    filling: float = 0.0  # how many of them are expected to be filled
     fits: float = FITS_FIRST  # how many of this router's transfers run there at full pace
     rate: float = 0.0  # sending time a second that this router lately asked of it
     rate_at: int = 0
@@ -293,8 +293,13 @@
         if (pace < 0.85 and beside >= 2.5) or (pace >= 0.85 and beside > self.link_fits):
             self.link_fits = max(1.0, self.link_fits + (beside * pace - self.link_fits) * FITS_STEP)
 
-    def link_crowding(self, more: float) -> float:
-        return (sum(s.filling for s in self.caches) + more) / max(1.0, self.link_fits)
+    def filling(self, s: Server, now: int) -> float:
+        """How many of the hops out there are being filled; one out for longer than a hit takes most likely is."""
+        return sum(FILL_LATE if h.filling and now - h.sent > 1.2 * h.work * max(1.0, h.beside / max(1.0, s.fits))
+                   else h.filling for h in s.out.values())
+
+    def link_crowding(self, now: int, more: float) -> float:
+        return (sum(self.filling(s, now) for s in self.caches) + more) / max(1.0, self.link_fits)
 
     # Choice.
 
@@ -302,7 +307,7 @@
         """The home cache, or as far down its order as health, budgets and crowding make it go.
 
         `crowd` is how many times what fits at full pace may be out there with this txn."""
-        link = self.link_crowding(0)
+        link = self.link_crowding(now, 0)
         able = [s for s in self.ranked(self.caches, obj)
                 if s.state == "up" and allowed(s) and self.has_room(s, now, mean)]
         fit = ([s for s in able if s.name not in avoid and self.healthy(s, now)]
@@ -310,7 +315,7 @@
         if not fit:
             return None
         def crowding(s: Server) -> float:
-            idle = s.filling * (1 - 1 / max(1.0, link))  # fills held up on the way leave the cache's own link idle
+            idle = self.filling(s, now) * (1 - 1 / max(1.0, link))  # fills held up on the way leave the cache's own link idle
             return (len(s.out) + 1 - idle) / max(s.fits, 1.0)
         home = crowding(fit[0])
         if home <= (SPILL_NEAR if self.siblings else SPILL) or (link > 1 and home <= crowd and not self.siblings):  # the way in has no room to spread
@@ -418,7 +423,7 @@
                     and self.fleet.healthy(home, now) and not self.fleet.is_cold(home, now)
                     and self.collapsing.is_known((txn.obj, txn.part), home, now, purged)):
                 source, filling = home, 0.0  # a spread part comes from its home, not over the way in
-            elif filling and self.fleet.link_crowding(filling) > crowd:
+            elif filling and self.fleet.link_crowding(now, filling) > crowd:
                 # Guards the way in against more misses than it takes, whatever made them: what is kept, or being
                 # filled, is still answered, and only what would begin one more fill is given up.
                 source, filling, txn.past_fresh = server, 0.0, True
@@ -435,7 +440,6 @@
             server.heard = max(server.heard, now)  # nothing was owed until now
         txn.hops.append(hop)
         server.out[txn.ident, hop.number] = hop
-        server.filling += filling
         # A copy past its fresh time earns less: only after a failed fill, or while the way in is full.
         span = rule.fresh + rule.grace if txn.past_fresh and rule.fresh and rule.grace else rule.fresh
         age = 0 if rule.never_kept else self.purges.oldest_copy(now, txn.obj, txn.group, span)
@@ -509,7 +513,6 @@
         hop = txn.hops[number]
         hop.out, hop.ran = False, result not in NEVER_RAN
         hop.server.out.pop((ident, number), None)
-        hop.server.filling -= hop.filling
         self.learn(hop, result, took, note, waited, now)
         if txn.ended:
             if not any(h.out for h in txn.hops):
@@ -548,7 +551,7 @@
             if hop.filling and note:
                 self.fleet.miss_share += ((note in (FILLED, FILLED_BY_ORIGIN)) - self.fleet.miss_share) * LEARN
             if note in (FILLED, FILLED_BY_ORIGIN) and txn.sized and hop.work > 50 * MS:
-                self.fleet.filled(hop.work, took, self.fleet.link_crowding(1) * self.fleet.link_fits)
+                self.fleet.filled(hop.work, took, self.fleet.link_crowding(now, 1) * self.fleet.link_fits)
             if note in (FILLED, FILLED_BY_ORIGIN) and source is not None:
                 self.fleet.carried(source, txn.work, now)
                 self.fleet.judge(source, 0.0, now)
