The way in takes 0.7 of the crowd a cache may have

Cause: with the truer count of fills the way in still ran at 2.5 times what fits, and most fills came late.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -28,6 +28,7 @@
 CROWD_LEAST, CROWD_MOST = 1.5, 2.5  # admission: hops over what fits, for a txn of no worth for its work, and on top
 FITS_FIRST, FITS_STEP = 4.0, 0.1  # transfers that fit at full pace before any is learned; weight of one answer
 FILL_LATE = 0.8  # how likely a hop out for longer than a hit takes is being filled
+LINK_SHARE = 0.7  # of the crowd that a cache may have is the most on the way in
 DUE_WAIT = 100 * MS  # a fill's wait for its source that counts as usual
 LINK_FIRST = 0.5  # fills that fit on the way in, over what fits at the caches, before any is learned
 FAIL_STEP, FAIL_LIMIT = 0.2, 0.35  # weight of one result in a server's failure share; the share that ejects
@@ -423,7 +424,7 @@
                     and self.fleet.healthy(home, now) and not self.fleet.is_cold(home, now)
                     and self.collapsing.is_known((txn.obj, txn.part), home, now, purged)):
                 source, filling = home, 0.0  # a spread part comes from its home, not over the way in
-            elif filling and self.fleet.link_crowding(now, filling) > crowd:
+            elif filling and self.fleet.link_crowding(now, filling) > LINK_SHARE * crowd:
                 # Guards the way in against more misses than it takes, whatever made them: what is kept, or being
                 # filled, is still answered, and only what would begin one more fill is given up.
                 source, filling, txn.past_fresh = server, 0.0, True
