--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -285,7 +285,7 @@
     def transferred(self, s: Server, work: int, took: int, beside: float) -> None:
         """Learn from a hit how many transfers fit: their number, times the share of its full pace that each had."""
         pace = work / max(work, took - 20 * MS)
-        if (pace < 0.85 and beside >= 2.5) or (pace >= 0.85 and beside > s.fits):
+        if (pace < 0.85 and beside >= 1.5) or (pace >= 0.85 and beside > s.fits):
             s.fits = max(0.5, s.fits + (beside * pace - s.fits) * FITS_STEP)
 
     def filled(self, work: int, took: int, beside: float) -> None:
