--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -1,8 +1,8 @@
-"""All decisions of fieldspur: which cache serves a txn, where a miss is filled from, who waits, who is given up.
+"""All decisions of fieldspur: which cache serves a txn, what fills a miss, who waits, what is given up.
 
-A program builds one Router for each running instance (from a Fleet, Purges and Collapsing) and calls one method
-for each thing that happens; the Router acts by calling its host at once. The host's calls, the words for a hop's
-result and the RemapRule are in fieldspur/host.py. docs/design.md tells the why, docs/oncall.md what to do.
+A program builds one Router for each running instance, from a Fleet, Purges and Collapsing, and calls one
+method for each thing that happens; the Router acts by calling its host at once. fieldspur/host.py has the
+host's calls, the words for a hop's result and RemapRule; docs/design.md the why, docs/oncall.md what to do.
 """
 
 from __future__ import annotations
@@ -17,25 +17,27 @@
                    SOURCE_LACKS, SOURCE_LOST, SOURCE_REFUSED, Host, RemapRule)
 
 MS, SECOND = 1_000_000, 1_000_000_000
+FILLS = (FILLED, FILLED_BY_ORIGIN)
 
 OUTER_WAIT = 3 * SECOND  # the source's lock time-out, kept as the outer bound of any wait
 MOST_WAITERS = 64  # waiting list of one object and part; further txns go straight to the home
-KNOWN_SPAN, KNOWN_MOST = 8 * SECOND, 4096  # how long, and for how many parts, an answer from home counts as a hit
+KNOWN_SPAN, KNOWN_MOST = 8 * SECOND, 4096  # how long, for how many parts, an answer counts as a hit
 KEPT_RANK = 2  # above the lowest rank
-COLD_USE = 0.45  # share of a cold server's budget used: once as its bucket, once more as refill within the span
+COLD_USE = 0.45  # share of a cold server's budget in its bucket, and again as refill within the span
 ROUGH_RATING = 0.7  # a roughly known size may be this much too large
-SPILL, SPILL_NEAR, SPILL_GAIN = 2.0, 1.3, 0.6  # home passes txns on beyond (NEAR: filled from it), to under GAIN of its crowd
-CROWD_LEAST, CROWD_MOST = 1.5, 2.5  # admission: hops over what fits, for a txn of no worth for its work, and on top
-FITS_FIRST, FITS_STEP = 4.0, 0.1  # transfers that fit at full pace before any is learned; weight of one answer
+SPILL, SPILL_NEAR, SPILL_GAIN = 2.0, 1.3, 0.6  # crowd at which home spreads (NEAR: supplies it)
+CROWD_LEAST, CROWD_MOST = 1.5, 2.5  # admission: hops over what fits, for a txn of little worth; most on top
+FITS_FIRST, FITS_STEP = 4.0, 0.1  # transfers that fit at full pace, at first; weight of one answer
 FILL_LATE = 0.8  # how likely a hop out for longer than a hit takes is being filled
 LINK_SHARE = 0.7  # of the crowd that a cache may have is the most on the way in
 DUE_WAIT = 100 * MS  # a fill's wait for its source that counts as usual
 LINK_FIRST = 0.5  # fills that fit on the way in, over what fits at the caches, before any is learned
 FAIL_STEP, FAIL_LIMIT = 0.2, 0.35  # weight of one result in a server's failure share; the share that ejects
+FAIL_SILENT, LATE_FILLS = 0.21, 3  # share that silence sets: one answer clears it; late fills that show it
 FAIL_TIMES = 2.0  # ... if it is also this many times the median of its peers
 SLOW_STEP, SLOW_TIMES = 0.15, 2.5  # weight of one answer in a server's slowness; times its peers' that ejects
 EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND  # ejection, doubling each time
-QUIET_LEAST, QUIET_TIMES = 300 * MS, 1.5  # silence is suspect past this and so many times what a hop should take
+QUIET_LEAST, QUIET_TIMES = 300 * MS, 1.5  # suspect silence: this and so many times a hop's due
 RETRY_SHARE, RETRY_MOST = 0.3, 20.0  # retry budget: further hops for each txn, and the most that are saved up
 FIRST_WORK, FIRST_BYTE = 400 * MS, 80 * MS  # sending time and fill's first byte, before any is learned
 LEARN = 0.05  # weight of one sample in what is learned
@@ -53,10 +55,11 @@
     kind: int = 0
     cell: int = 0
     out: dict = field(default_factory=dict)  # hops out there, oldest first
+    feeds: dict = field(default_factory=dict)  # hops out elsewhere that name it as their source
     fits: float = FITS_FIRST  # how many of this router's transfers run there at full pace
     rate: float = 0.0  # sending time a second that this router lately asked of it
     rate_at: int = 0
-    heard: int = 0  # when it last answered anything
+    heard: int = 0  # when it last answered anything, or a fill from it came
     fails: float = 0.0
     slowness: float = 1.0  # time taken over time expected (a source: its wait over the usual one)
     ejected_until: int = 0  # 0: in service; past: one hop at a time until it has proved itself
@@ -79,13 +82,14 @@
     out: bool = True
     ran: bool = True  # may have run
     dropped: bool = False  # cancelled by this router
+    alone: bool = False  # its fill may hang: the next hop does not join it
 
 
 @dataclass(slots=True, eq=False)
 class Txn:
     ident: int
     rule: RemapRule
-    habit: Habit
+    rule_at: int
     obj: str
     part: int
     group: int
@@ -103,13 +107,6 @@
     bad_sources: set = field(default_factory=set)
 
 
-@dataclass(slots=True)
-class Habit:
-    """What is learned of one remap rule."""
-
-    work: float = FIRST_WORK  # mean sending time
-
-
 class Purges:
     """Times of the purges that still bind, by object and by group."""
 
@@ -133,10 +130,7 @@
     def oldest_copy(self, now: int, obj, group: int, fresh: int) -> int:
         """The oldest copy that will do, never 0 where a purge binds (0 leaves it to the rule)."""
         made = self.latest(now, obj, group)
-        if not made:
-            return 0
-        age = max(1000, now - made)
-        return min(age, fresh) if fresh else age
+        return min(max(1000, now - made), fresh or now) if made else 0
 
 
 @dataclass(slots=True)
@@ -178,10 +172,9 @@
         self.link_fits = link * cache_share  # fills that this router's share of the way in takes at full pace
         self.miss_share = 0.5  # of the txns for objects not known to be at home
         self.servers: dict[str, Server] = {}
-        self.caches: list[Server] = []
-        self.parents: list[Server] = []
-        self.origin: Server | None = None
+        self.caches, self.parents, self.origin = [], [], None  # as listed
         self.listed: set | None = None
+        self.log = print  # the Router puts its host's here
 
     # The list.
 
@@ -191,7 +184,7 @@
     def server_listed(self, name, state, started, zone, rating, kind, cell) -> None:
         s = self.servers.setdefault(name, Server(name))
         if started != s.started:  # a new process: empty, cold, and nothing held against it
-            s.fails, s.slowness, s.ejected_until, s.ejections, s.tokens, s.tokens_at = 0.0, 1.0, 0, 0, math.inf, 0
+            s.fails, s.slowness, s.ejected_until, s.ejections, s.tokens_at = 0.0, 1.0, 0, 0, 0
         if self.size_trust and (rating != s.rating or started != s.started or s.state == "gone"):
             s.fits = rating * self.cold[False][0]
         s.state, s.started, s.zone, s.rating, s.kind, s.cell = state, started, zone, rating, kind, cell
@@ -207,7 +200,8 @@
         here = sorted((s for s in self.servers.values() if s.state != "gone"), key=lambda s: s.name)
         self.parents = [s for s in here if s.kind == self.parent_kind]
         self.origin = next((s for s in here if s.kind == self.origin_kind), None)
-        self.caches = [s for s in here if s.zone == self.zone and s.kind not in (self.parent_kind, self.origin_kind)]
+        above = (self.parent_kind, self.origin_kind)
+        self.caches = [s for s in here if s.zone == self.zone and s.kind not in above]
 
     def weight(self, s: Server) -> float:
         return max(s.rating, 0.01) if self.size_trust else 1.0
@@ -222,8 +216,7 @@
     # Load and cold budgets.
 
     def carried(self, s: Server, work: float, now: int) -> None:
-        s.rate = self.rate(s, now) + work / (5 * SECOND)
-        s.rate_at = now
+        s.rate, s.rate_at = self.rate(s, now) + work / (5 * SECOND), now
 
     def rate(self, s: Server, now: int) -> float:
         return s.rate * math.exp((s.rate_at - now) / (5 * SECOND))
@@ -239,65 +232,63 @@
         if self.size_trust:
             mine = s.rating * self.size_trust * share
         else:  # sizes are not told: what this router lately asked of the warm ones
-            peers = self.parents if s.kind == self.parent_kind else self.caches
-            rates = [self.rate(p, now) for p in peers if not self.is_cold(p, now)]
+            rates = [self.rate(p, now) for p in self.peers(s) if not self.is_cold(p, now)]
             mine = max(0.1, sum(rates) / len(rates) if rates else 0.0)
         able = mine * (start + (1 - start) * max(0, now - s.started) / ramp) * min(multiple * COLD_USE, 1.0)
         most = able * self.fall_span
-        s.tokens = min(most, s.tokens + able * (now - s.tokens_at) if s.tokens_at else most)
+        s.tokens = min(most, s.tokens + able * (now - s.tokens_at)) if s.tokens_at else most
         s.tokens_at = now
         return s.tokens >= charge
 
     # Health.
 
+    def peers(self, s: Server) -> list[Server]:
+        return [p for p in (self.parents if s in self.parents else self.caches) if p is not s]
+
     def healthy(self, s: Server, now: int) -> bool:
-        return not s.ejected_until or (now >= s.ejected_until and not s.out)
+        return not s.ejected_until or (now >= s.ejected_until and not s.out and not s.feeds)
 
-    def eject(self, s: Server, now: int) -> None:
-        s.ejected_until = now + min(EJECT_MOST, EJECT_FIRST << min(s.ejections, 6))
-        s.ejections += 1
+    def eject(self, s: Server, now: int, why: str) -> None:
+        span = min(EJECT_MOST, EJECT_FIRST << min(s.ejections, 6))
+        s.ejected_until, s.ejections = now + span, s.ejections + 1
+        self.log(f"ejected {s.name} for {span // MS} ms: {why}")
 
-    def judge(self, s: Server, failed: float, now: int) -> bool:
-        """Count one result, 1 failed to 0 well; True if it ejects the server. Only an outlier is ejected."""
+    def judge(self, s: Server, failed: float, now: int) -> None:
+        """Count one result, 1 failed to 0 well. Only an outlier is ejected."""
         s.fails += (failed - s.fails) * FAIL_STEP
-        peers = [p.fails for p in (self.parents if s in self.parents else self.caches) if p is not s]
-        if failed and s.kind != self.origin_kind and s.fails > max(
-                FAIL_LIMIT, FAIL_TIMES * median(peers) if peers else 1.0):
-            self.eject(s, now)
-            return True
-        if not failed and s.ejected_until:
-            if s.fails < FAIL_LIMIT / 2:
-                s.ejected_until = 0
-            else:
-                s.ejected_until = now
-        return False
-
-    def pace(self, s: Server, ratio: float, now: int) -> bool:
-        """Count how slow one answer was; True if the server proves slow beside its peers."""
+        peers = [p.fails for p in self.peers(s)]
+        if failed and peers and s.fails > max(FAIL_LIMIT, FAIL_TIMES * median(peers)):
+            self.eject(s, now, "failures")
+        elif not failed and s.ejected_until:
+            s.ejected_until = 0 if s.fails < FAIL_LIMIT / 2 else now
+
+    def pace(self, s: Server, ratio: float, now: int) -> None:
+        """Count how long a fill waited at a source, over the usual; slow beside its peers, it is ejected."""
         s.slowness += (min(ratio, 10.0) - s.slowness) * SLOW_STEP
-        peers = [p.slowness for p in (self.parents if s in self.parents else self.caches) if p is not s]
+        peers = [p.slowness for p in self.peers(s)]
         if peers and not s.ejected_until and s.slowness > SLOW_TIMES * max(1.0, median(peers)):
-            self.eject(s, now)
+            self.eject(s, now, "slow beside its peers")
             s.slowness = 1.0
-            return True
-        return False
 
     def transferred(self, s: Server, work: int, took: int, beside: float) -> None:
-        """Learn from a hit how many transfers fit: their number, times the share of its full pace that each had."""
+        """Learn from a hit how many transfers fit: their number, times the share of full pace each had."""
         pace = work / max(work, took - 20 * MS)
         if (pace < 0.85 and beside >= 1.5) or (pace >= 0.85 and beside > s.fits):
             s.fits = max(0.5, s.fits + (beside * pace - s.fits) * FITS_STEP)
 
     def filled(self, work: int, took: int, beside: float) -> None:
-        """The same for fills: what the way in takes, be its bottleneck the link, the parents or the origin."""
+        """The same for fills on the way in, be its bottleneck the link, the parents or the origin."""
         pace = work / max(work, took - DUE_WAIT)
         if (pace < 0.85 and beside >= 2.5) or (pace >= 0.85 and beside > self.link_fits):
             self.link_fits = max(1.0, self.link_fits + (beside * pace - self.link_fits) * FITS_STEP)
 
     def filling(self, s: Server, now: int) -> float:
-        """How many of the hops out there are being filled; one out for longer than a hit takes most likely is."""
-        return sum(FILL_LATE if h.filling and now - h.sent > 1.2 * h.work * max(1.0, h.beside / max(1.0, s.fits))
-                   else h.filling for h in s.out.values())
+        """How many hops out there are being filled; one out for longer than a hit takes likely is."""
+        return sum(FILL_LATE if h.filling and now - h.sent > 1.2 * self.hit_time(h) else h.filling
+                   for h in s.out.values())
+
+    def hit_time(self, hop: Hop) -> float:
+        return hop.work * max(1.0, hop.beside / max(1.0, hop.server.fits))
 
     def link_crowding(self, now: int, more: float) -> float:
         return (sum(self.filling(s, now) for s in self.caches) + more) / max(1.0, self.link_fits)
@@ -316,12 +307,12 @@
         if not fit:
             return None
         def crowding(s: Server) -> float:
-            idle = self.filling(s, now) * (1 - 1 / max(1.0, link))  # fills held up on the way leave the cache's own link idle
+            idle = self.filling(s, now) * (1 - 1 / max(1.0, link))  # fills held up leave its own link idle
             return (len(s.out) + 1 - idle) / max(s.fits, 1.0)
         home = crowding(fit[0])
-        if home <= (SPILL_NEAR if self.siblings else SPILL) or (link > 1 and home <= crowd and not self.siblings):  # the way in has no room to spread
+        if home <= (SPILL_NEAR if self.siblings else max(SPILL, crowd) if link > 1 else SPILL):
             return fit[0]
-        # A hot object's home is crowded: its parts spread, alike at all routers.
+        # A hot object's home is crowded, and there is room for spreading: its parts do, alike at all routers.
         spread = self.ranked(fit[1:], f"{obj}#{part}")
         best = next((s for s in spread if crowding(s) <= SPILL_GAIN * home), fit[0])
         return best if crowding(best) <= max(crowd, 1.0) else None
@@ -341,29 +332,27 @@
     def __init__(self, host: Host, seed: int, rules: list[RemapRule], fleet: Fleet, purges: Purges,
                  collapsing: Collapsing, kb_per_s: float, hop_limit: int, joins: bool, probes: bool,
                  cancels: bool, longest_come_back: int):
-        self.host, self.rules, self.fleet, self.purges, self.collapsing = host, rules, fleet, purges, collapsing
-        self.random = random.Random(seed)
+        self.host, self.rules, self.fleet = host, rules, fleet
+        self.purges, self.collapsing = purges, collapsing
+        self.random, fleet.log = random.Random(seed), host.log
         self.kb_per_s, self.hop_limit, self.joins = kb_per_s, hop_limit, joins
         self.probes, self.cancels, self.longest_come_back = probes, cancels, longest_come_back
-        self.habits = [Habit() for _ in rules]
+        self.works = [float(FIRST_WORK)] * len(rules)  # mean sending times, learned
         self.first_byte_after, self.first_byte_spread = float(FIRST_BYTE), FIRST_BYTE / 2
         self.txns: dict[int, Txn] = {}
         self.alarms: dict[int, tuple] = {}
-        self.last_label = 0
-        self.retries = RETRY_MOST
+        self.last_label, self.retries = 0, RETRY_MOST
         self.mean_work, self.mean_importance = float(FIRST_WORK), 1.0
-        self.list_begins, self.server_listed, self.list_ends = fleet.list_begins, fleet.server_listed, fleet.list_ends
+        self.list_begins, self.list_ends = fleet.list_begins, fleet.list_ends
+        self.server_listed = fleet.server_listed
 
     # A txn's way.
 
-    def txn_arrived(self, ident: int, rule_at: int, obj: str, part: int, left: int, kb: float, group: int) -> None:
-        now, rule, habit = self.host.now(), self.rules[rule_at], self.habits[rule_at]
-        if kb:
-            work = int(kb / self.kb_per_s * SECOND)
-            habit.work += (work - habit.work) * LEARN
-        else:
-            work = int(habit.work)
-        txn = Txn(ident, rule, habit, obj, part, group, work, kb > 0,
+    def txn_arrived(self, ident: int, rule_at: int, obj: str, part: int, left: int, kb: float, group: int):
+        now, rule = self.host.now(), self.rules[rule_at]
+        work = int(kb / self.kb_per_s * SECOND) if kb else int(self.works[rule_at])
+        self.works[rule_at] += (work - self.works[rule_at]) * LEARN
+        txn = Txn(ident, rule, rule_at, obj, part, group, work, kb > 0,
                   now + rule.sla + int(rule.sla_stretch * work), now + left)
         self.txns[ident] = txn
         self.retries = min(RETRY_MOST, self.retries + RETRY_SHARE)
@@ -371,7 +360,7 @@
             return self.send(txn)
         self.mean_work += (work - self.mean_work) * LEARN
         self.mean_importance += (rule.importance - self.mean_importance) * LEARN
-        home = self.fleet.cache_for(obj, part, now, habit.work, math.inf, (), lambda s: True)
+        home = self.fleet.cache_for(obj, part, now, self.works[rule_at], math.inf, (), lambda s: True)
         key, purged = (obj, part), self.purges.latest(now, obj, group)
         if home is not None and self.collapsing.is_known(key, home, now, purged):
             return self.send(txn, known=True)  # the first cache check finds it
@@ -394,9 +383,8 @@
             self.send(txn, known=True)
 
     def leave_list(self, txn: Txn) -> None:
-        flight = self.collapsing.flights.get((txn.obj, txn.part))
-        if txn.waits and flight:
-            flight.waiters.pop(txn.ident, None)
+        if txn.waits:
+            self.collapsing.flights[txn.obj, txn.part].waiters.pop(txn.ident)
         txn.waits = False
 
     def send(self, txn: Txn, known: bool = False) -> None:
@@ -404,51 +392,56 @@
 
         `known`: it is expected to hit, or to join a fill."""
         now, rule = self.host.now(), txn.rule
-        if txn.ended or now >= txn.limit_at or len(txn.hops) >= self.hop_limit or any(h.out for h in txn.hops):
-            return None if txn.ended or any(h.out for h in txn.hops) else self.give_up(txn)
-        mean = max(txn.habit.work, txn.work)
+        if txn.ended or any(h.out for h in txn.hops):
+            return None
+        if now >= txn.limit_at or len(txn.hops) >= self.hop_limit:
+            return self.give_up(txn)
+        mean = max(self.works[txn.rule_at], txn.work)
         worth = rule.importance / self.mean_importance * self.mean_work / max(txn.work, MS)
         filling = 0.0 if known or rule.never_kept else self.fleet.miss_share
         crowd = CROWD_LEAST + min(CROWD_MOST, worth)
-        server = self.fleet.cache_for(txn.obj, txn.part, now, mean, crowd, txn.bad_caches, lambda s: self.may_send(txn, s, now))
+        server = self.fleet.cache_for(txn.obj, txn.part, now, mean, crowd, txn.bad_caches,
+                                      lambda s: self.may_send(txn, s, now))
         if server is None:  # nowhere to go, or too crowded for what the txn is worth
             return self.give_up(txn)
         if rule.never_kept:
             source, rank, charged = self.fleet.origin, 0, 0.0
-            if source is not None and source.state != "up":
+            if source is None or source.state != "up":
                 return self.give_up(txn)
         else:
             home, rank = self.fleet.ranked(self.fleet.caches, txn.obj)[0], KEPT_RANK
             purged = self.purges.latest(now, txn.obj, txn.group)
-            if (server is not home and self.fleet.siblings and home.state == "up" and home.name not in txn.bad_sources
+            if (server is not home and self.fleet.siblings and home.state == "up"
                     and self.fleet.healthy(home, now) and not self.fleet.is_cold(home, now)
+                    and home.name not in txn.bad_sources
                     and self.collapsing.is_known((txn.obj, txn.part), home, now, purged)):
                 source, filling = home, 0.0  # a spread part comes from its home, not over the way in
             elif filling and self.fleet.link_crowding(now, filling) > LINK_SHARE * crowd:
-                # Guards the way in against more misses than it takes, whatever made them: what is kept, or being
-                # filled, is still answered, and only what would begin one more fill is given up.
+                # Guards the way in against more misses than it takes, whatever made them: what is kept or
+                # being filled is still answered; what would begin one more fill is given up.
                 source, filling, txn.past_fresh = server, 0.0, True
             else:
                 source = self.fleet.source_for(txn.obj, now, mean, txn.bad_sources)
             charged = mean if source is not None and self.fleet.is_cold(source, now) else 0.0
-        if source is not None:
-            source.tokens -= charged
-        if self.fleet.is_cold(server, now):
-            server.tokens -= mean
+        server.tokens -= mean if self.fleet.is_cold(server, now) else 0.0
         self.fleet.carried(server, txn.work, now)
         hop = Hop(txn, len(txn.hops), server, source, now, txn.work, len(server.out), filling, charged)
         if not server.out:
             server.heard = max(server.heard, now)  # nothing was owed until now
         txn.hops.append(hop)
         server.out[txn.ident, hop.number] = hop
+        if source is not None:
+            source.tokens -= charged
+            source.feeds[txn.ident, hop.number] = hop
         # A copy past its fresh time earns less: only after a failed fill, or while the way in is full.
         span = rule.fresh + rule.grace if txn.past_fresh and rule.fresh and rule.grace else rule.fresh
-        age = 0 if rule.never_kept else self.purges.oldest_copy(now, txn.obj, txn.group, span)
-        if not age and span > rule.fresh:
-            age = span
+        age = self.purges.oldest_copy(now, txn.obj, txn.group, span) or (span if span > rule.fresh else 0)
         self.host.hop(txn.ident, server.name, txn.limit_at, source.name if source else None, rank, age,
-                      self.joins and not rule.never_kept, rule.fresh > 0)
+                      self.joins and not rule.never_kept and not any(h.alone for h in txn.hops),
+                      rule.fresh > 0)
         self.at(now + self.patience(hop), self.hop_due, hop)
+        if source in self.fleet.parents:
+            self.at(now + self.fill_patience(hop), self.fill_due, hop)
 
     def may_send(self, txn: Txn, server: Server, now: int) -> bool:
         """Guards against an effect that happens twice."""
@@ -479,7 +472,7 @@
         txn.ended = True
         self.leave_list(txn)
         for hop in txn.hops:
-            if hop.out and self.cancels:
+            if hop.out:
                 self.drop(hop)
         if not any(h.out for h in txn.hops):
             self.txns.pop(txn.ident, None)
@@ -495,25 +488,28 @@
             heir.waits, heir.leads = False, True
             self.collapsing.flights[key] = Flight(heir, self.host.now(), flight.waiters)
             return self.send(heir)
-        for waiter in list(flight.waiters.values()):
+        for waiter in flight.waiters.values():
             waiter.waits = False
             self.send(waiter, known=True)
 
     def drop(self, hop: Hop) -> None:
-        if not hop.dropped:
+        """Stop waiting for a hop, unless that would leave open whether an unrepeatable txn ran."""
+        if self.cancels and not hop.dropped and (hop.txn.ended or hop.txn.rule.kind != "unrepeatable"):
             hop.dropped = True
             self.host.cancel(hop.txn.ident, hop.number)
 
     # What hops tell.
 
-    def hop_ended(self, ident: int, number: int, result: str, took: int, final: bool, note: int, waited: int | None,
-                  load: dict | None) -> None:
+    def hop_ended(self, ident: int, number: int, result: str, took: int, final: bool, note: int,
+                  waited: int | None, load: dict | None) -> None:
         txn, now = self.txns.get(ident), self.host.now()
         if txn is None or number >= len(txn.hops) or not txn.hops[number].out:
             return
         hop = txn.hops[number]
         hop.out, hop.ran = False, result not in NEVER_RAN
         hop.server.out.pop((ident, number), None)
+        if hop.source is not None:
+            hop.source.feeds.pop((ident, number), None)
         self.learn(hop, result, took, note, waited, now)
         if txn.ended:
             if not any(h.out for h in txn.hops):
@@ -522,80 +518,66 @@
             self.finish(txn, hop.server if result == "completed" else None)
         elif any(h.out for h in txn.hops):
             return
-        elif now >= txn.limit_at - 2 * MS or result == "timed_out" or txn.hopeless or not self.may_retry(hop):
+        elif now >= txn.limit_at - 2 * MS or result == "timed_out" or txn.hopeless or self.retries < 1:
             self.give_up(txn)
         else:
+            self.retries -= 1  # guards against hops that multiply an overload
             self.send(txn)
 
-    def may_retry(self, hop: Hop) -> bool:
-        if self.retries < 1:
-            return False
-        self.retries -= 1
-        return True
-
     def learn(self, hop: Hop, result: str, took: int, note: int, waited: int | None, now: int) -> None:
         """Whom a result speaks for or against: the cache, the source, or neither."""
         server, source, txn = hop.server, hop.source, hop.txn
         if result in ("completed", "error", "full", "missing"):
             server.heard = now
-        if source is not None and hop.charged and (note in (HIT, JOINED, PAST_FRESH)):
+        if source is not None and note in (*FILLS, SOURCE_REFUSED, ORIGIN_FAILED):
+            source.heard = now
+        elif source is not None and note in (HIT, JOINED, PAST_FRESH):
             source.tokens += hop.charged  # the source was not asked
         if result == "completed":
-            if self.fleet.judge(server, 0.0, now):
-                self.log_ejection(server)
+            self.fleet.judge(server, 0.0, now)
             beside = (hop.beside + len(server.out)) / 2 + 1
             if note == HIT and txn.sized and hop.work > 50 * MS:
                 self.fleet.transferred(server, hop.work, took, beside)
-            elif note == HIT and not txn.sized:  # sizes are not told: what a hit took, less what others took of it
+            elif note == HIT and not txn.sized:  # what a hit took, less what others took of it
                 alone = max(0, took - 20 * MS) * min(1.0, server.fits / beside)
-                txn.habit.work += (alone - txn.habit.work) * LEARN
+                self.works[txn.rule_at] += (alone - self.works[txn.rule_at]) * LEARN
             if hop.filling and note:
-                self.fleet.miss_share += ((note in (FILLED, FILLED_BY_ORIGIN)) - self.fleet.miss_share) * LEARN
-            if note in (FILLED, FILLED_BY_ORIGIN) and txn.sized and hop.work > 50 * MS:
+                self.fleet.miss_share += ((note in FILLS) - self.fleet.miss_share) * LEARN
+            if note in FILLS and txn.sized and hop.work > 50 * MS:
                 self.fleet.filled(hop.work, took, self.fleet.link_crowding(now, 1) * self.fleet.link_fits)
-            if note in (FILLED, FILLED_BY_ORIGIN) and source is not None:
+            if note in FILLS and source is not None:
                 self.fleet.carried(source, txn.work, now)
                 self.fleet.judge(source, 0.0, now)
                 wait = waited if waited is not None else max(0, took - txn.work)
-                off = wait - self.first_byte_after
-                self.first_byte_after += min(off, 5 * self.first_byte_after) * LEARN
+                off = min(wait - self.first_byte_after, 5 * self.first_byte_after)
+                self.first_byte_after += off * LEARN
                 self.first_byte_spread += (abs(off) - self.first_byte_spread) * LEARN
-                if self.fleet.pace(source, (wait + 20 * MS) / (self.first_byte_after + 20 * MS), now):
-                    self.log_ejection(source)
+                self.fleet.pace(source, (wait + 20 * MS) / (self.first_byte_after + 20 * MS), now)
         elif note in (SOURCE_REFUSED, SOURCE_LOST, SOURCE_LACKS, ORIGIN_FAILED):
             txn.past_fresh = True
             if source is not None:
                 txn.bad_sources.add(source.name)
-                if note in (SOURCE_REFUSED, SOURCE_LOST) and self.fleet.judge(source, 1.0, now):
-                    self.log_ejection(source)
-        elif result == "error":
-            txn.bad_caches.add(server.name)
-            if self.fleet.judge(server, 1.0, now):
-                self.log_ejection(server)
-            if source is not None and not txn.rule.never_kept and self.fleet.judge(source, 1.0, now):
-                self.log_ejection(source)
-        elif result in ("unreachable", "broken"):
+                if note in (SOURCE_REFUSED, SOURCE_LOST):
+                    self.fleet.judge(source, 1.0, now)
+        elif result in ("error", "unreachable", "broken"):
             txn.bad_caches.add(server.name)
-            server.fails = max(server.fails, FAIL_LIMIT)
-            if self.fleet.judge(server, 1.0, now):
-                self.log_ejection(server)
+            if result != "error":
+                server.fails = max(server.fails, FAIL_LIMIT)
+            elif source is not None and not txn.rule.never_kept:
+                self.fleet.judge(source, 1.0, now)  # nothing tells the two apart but their peers
+            self.fleet.judge(server, 1.0, now)
         elif result == "missing" and source in self.fleet.caches:
-            if source is server:
-                txn.hopeless = True
+            txn.hopeless = source is server
             txn.bad_sources.add(source.name)
-        elif result in ("full", "missing", "cancelled"):
+        elif result in ("full", "missing", "cancelled") and not hop.alone:
             txn.bad_caches.add(server.name)
 
-    def log_ejection(self, server: Server) -> None:
-        self.host.log(f"ejected {server.name} for {(server.ejected_until - self.host.now()) // MS} ms")
-
     def patience(self, hop: Hop) -> int:
         """How long a server may stay silent with this hop out, the more the more it has to do."""
-        crowding = max(1.0, hop.beside / max(1.0, hop.server.fits))
-        return int(QUIET_LEAST + QUIET_TIMES * (hop.work * crowding + self.first_byte_after))
+        return int(QUIET_LEAST + QUIET_TIMES * (self.fleet.hit_time(hop) + self.first_byte_after))
 
     def hop_due(self, hop: Hop) -> None:
-        """Guards against servers that take txns and answer nothing: the server has been silent for too long."""
+        """Guards against servers that take txns and answer nothing: this one was silent for too long."""
         now, server = self.host.now(), hop.server
         if not hop.out or hop.dropped:
             return
@@ -603,23 +585,37 @@
         if now - quiet_since < self.patience(hop):
             return self.at(quiet_since + self.patience(hop), self.hop_due, hop)
         if not server.ejected_until or now >= server.ejected_until:
-            server.fails = max(server.fails, FAIL_LIMIT)
-            self.fleet.eject(server, now)
-            self.log_ejection(server)
-        if not self.cancels:
-            return
+            server.fails = max(server.fails, FAIL_SILENT)
+            self.fleet.eject(server, now, "silent")
         for other in list(server.out.values()):
-            txn = other.txn
-            if not txn.ended and txn.rule.kind != "unrepeatable" and now - other.sent > QUIET_LEAST:
+            if now - other.sent > QUIET_LEAST:
                 self.drop(other)
 
+    def fill_patience(self, hop: Hop) -> int:
+        return self.patience(hop) - QUIET_LEAST // 2 + int(2 * self.first_byte_spread)
+
+    def fill_due(self, hop: Hop) -> None:
+        """Guards against sources that take fills and send none, while others do."""
+        now, source = self.host.now(), hop.source
+        if not hop.out or hop.dropped:
+            return
+        late = sum(now - h.sent >= self.fill_patience(h) for h in source.feeds.values())
+        others = any(p.heard > hop.sent for p in self.fleet.parents if p is not source)
+        if source.heard < hop.sent and others and late >= LATE_FILLS and not source.ejected_until:
+            source.fails = max(source.fails, FAIL_SILENT)
+            self.fleet.eject(source, now, "no fill comes from it")
+        if source.ejected_until and source.heard < hop.sent:
+            hop.alone = True
+            hop.txn.bad_sources.add(source.name)
+            return self.drop(hop)
+        self.at(now + QUIET_LEAST, self.fill_due, hop)
+
     # Other things that happen.
 
     def first_byte(self, ident: int, number: int) -> None:
         txn = self.txns.get(ident)
         if txn is not None and txn.leads:
-            flight = self.collapsing.flights[txn.obj, txn.part]
-            for waiter in list(flight.waiters.values()):
+            for waiter in list(self.collapsing.flights[txn.obj, txn.part].waiters.values()):
                 self.wait_over(waiter)
 
     def txn_withdrawn(self, ident: int) -> None:
@@ -642,6 +638,5 @@
         self.host.wake(self.last_label, when)
 
     def woken(self, label: int) -> None:
-        what, about = self.alarms.pop(label, (None, ()))
-        if what is not None:
-            what(*about)
+        what, about = self.alarms.pop(label, (lambda: None, ()))
+        what(*about)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -72,7 +72,7 @@
         day.arrive(ident, 1, obj=f"o{ident}", kb=0.0)
         day.pass_time(60 * MS)
         day.end(ident, "completed", HIT)
-    assert day.router.habits[1].work < 100 * MS < day.router.habits[0].work
+    assert day.router.works[1] < 100 * MS < day.router.works[0]
 
 
 def test_a_silent_server_is_left_and_its_hops_move_on():
@@ -140,3 +140,20 @@
     day.change(home, "draining")
     day.arrive(1)
     assert home not in (day.hops(1)[0]["server"], day.hops(1)[0]["source"])
+
+
+def test_a_source_that_sends_nothing_is_left_while_others_send():
+    """Found on craft-market and archive-net: a parent took fills and sent none; each waited for its time limit."""
+    day = Referee(caches=1)
+    for ident in range(12):
+        day.arrive(ident, obj=f"o{ident}", kb=10.0)
+    bad = day.hops(0)[0]["source"]
+    for step in range(3):
+        day.pass_time(150 * MS)
+        for ident in range(12):
+            if day.hops(ident)[-1]["source"] != bad and not day.txns[ident]["final"]:
+                day.end(ident, "completed", 2)
+                break
+    day.pass_time(300 * MS)
+    moved = [day.hops(i)[-1] for i in range(12) if len(day.hops(i)) > 1]
+    assert moved and all(h["source"] != bad and not h["join"] for h in moved)
