A source is silent only if its peers sent four fills meanwhile

Cause: with a slow market store parents looked silent by turns and moved fills asked the store twice.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -33,7 +33,8 @@
 DUE_WAIT = 100 * MS  # a fill's wait for its source that counts as usual
 LINK_FIRST = 0.5  # fills that fit on the way in, over what fits at the caches, before any is learned
 FAIL_STEP, FAIL_LIMIT = 0.2, 0.35  # weight of one result in a server's failure share; the share that ejects
-FAIL_SILENT, LATE_FILLS = 0.21, 3  # share that silence sets: one answer clears it; late fills that show it
+FAIL_SILENT = 0.21  # the share that silence sets: one answer clears it
+LATE_FILLS, MISSED_FILLS = 2, 4  # a source is silent with so many late, and so many from its peers meanwhile
 FAIL_TIMES = 2.0  # ... if it is also this many times the median of its peers
 SLOW_STEP, SLOW_TIMES = 0.15, 2.5  # weight of one answer in a server's slowness; times its peers' that ejects
 EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND  # ejection, doubling each time
@@ -60,6 +61,7 @@
     rate: float = 0.0  # sending time a second that this router lately asked of it
     rate_at: int = 0
     heard: int = 0  # when it last answered anything, or a fill from it came
+    missed: int = 0  # fills that came from its peers since
     fails: float = 0.0
     slowness: float = 1.0  # time taken over time expected (a source: its wait over the usual one)
     ejected_until: int = 0  # 0: in service; past: one hop at a time until it has proved itself
@@ -530,7 +532,9 @@
         if result in ("completed", "error", "full", "missing"):
             server.heard = now
         if source is not None and note in (*FILLS, SOURCE_REFUSED, ORIGIN_FAILED):
-            source.heard = now
+            source.heard, source.missed = now, 0
+            for peer in self.fleet.peers(source):
+                peer.missed += bool(peer.feeds)
         elif source is not None and note in (HIT, JOINED, PAST_FRESH):
             source.tokens += hop.charged  # the source was not asked
         if result == "completed":
@@ -600,8 +604,7 @@
         if not hop.out or hop.dropped:
             return
         late = sum(now - h.sent >= self.fill_patience(h) for h in source.feeds.values())
-        others = any(p.heard > hop.sent for p in self.fleet.parents if p is not source)
-        if source.heard < hop.sent and others and late >= LATE_FILLS and not source.ejected_until:
+        if source.missed >= MISSED_FILLS and late >= LATE_FILLS and not source.ejected_until:
             source.fails = max(source.fails, FAIL_SILENT)
             self.fleet.eject(source, now, "no fill comes from it")
         if source.ejected_until and source.heard < hop.sent:
@@ -626,11 +629,9 @@
     def purged(self, obj: str | None, group: int, age: int) -> None:
         self.purges.note(self.host.now(), obj, group, age)
 
-    def probe_ended(self, server: str, result: str, took: int, load: dict | None) -> None:
-        pass
+    def probe_ended(self, server: str, result: str, took: int, load: dict | None) -> None: ...
 
-    def peer_said(self, sender: int, data: bytes) -> None:
-        pass
+    def peer_said(self, sender: int, data: bytes) -> None: ...
 
     def at(self, when: int, what, *about) -> None:
         self.last_label += 1
