Sources that fall behind their peers are left, slow or silent alike; waits no longer judged

The count of fills from peers is now halved, not cleared, at each own fill, so a slow source shows too.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -34,9 +34,8 @@
 LINK_FIRST = 0.5  # fills that fit on the way in, over what fits at the caches, before any is learned
 FAIL_STEP, FAIL_LIMIT = 0.2, 0.35  # weight of one result in a server's failure share; the share that ejects
 FAIL_SILENT = 0.21  # the share that silence sets: one answer clears it
-LATE_FILLS, MISSED_FILLS = 2, 4  # a source is silent with so many late, and so many from its peers meanwhile
+LATE_FILLS, MISSED_FILLS = 2, 5  # a source is slow or silent: so many late, and so many more from its peers
 FAIL_TIMES = 2.0  # ... if it is also this many times the median of its peers
-SLOW_STEP, SLOW_TIMES = 0.15, 2.5  # weight of one answer in a server's slowness; times its peers' that ejects
 EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND  # ejection, doubling each time
 QUIET_LEAST, QUIET_TIMES = 300 * MS, 1.5  # suspect silence: this and so many times a hop's due
 RETRY_SHARE, RETRY_MOST = 0.3, 20.0  # retry budget: further hops for each txn, and the most that are saved up
@@ -61,9 +60,8 @@
     rate: float = 0.0  # sending time a second that this router lately asked of it
     rate_at: int = 0
     heard: int = 0  # when it last answered anything, or a fill from it came
-    missed: int = 0  # fills that came from its peers since
+    missed: int = 0  # fills that came from its peers since, halved at each of its own
     fails: float = 0.0
-    slowness: float = 1.0  # time taken over time expected (a source: its wait over the usual one)
     ejected_until: int = 0  # 0: in service; past: one hop at a time until it has proved itself
     ejections: int = 0
     tokens: float = 0.0
@@ -186,7 +184,7 @@
     def server_listed(self, name, state, started, zone, rating, kind, cell) -> None:
         s = self.servers.setdefault(name, Server(name))
         if started != s.started:  # a new process: empty, cold, and nothing held against it
-            s.fails, s.slowness, s.ejected_until, s.ejections, s.tokens_at = 0.0, 1.0, 0, 0, 0
+            s.fails, s.ejected_until, s.ejections, s.tokens_at = 0.0, 0, 0, 0
         if self.size_trust and (rating != s.rating or started != s.started or s.state == "gone"):
             s.fits = rating * self.cold[False][0]
         s.state, s.started, s.zone, s.rating, s.kind, s.cell = state, started, zone, rating, kind, cell
@@ -264,14 +262,6 @@
         elif not failed and s.ejected_until:
             s.ejected_until = 0 if s.fails < FAIL_LIMIT / 2 else now
 
-    def pace(self, s: Server, ratio: float, now: int) -> None:
-        """Count how long a fill waited at a source, over the usual; slow beside its peers, it is ejected."""
-        s.slowness += (min(ratio, 10.0) - s.slowness) * SLOW_STEP
-        peers = [p.slowness for p in self.peers(s)]
-        if peers and not s.ejected_until and s.slowness > SLOW_TIMES * max(1.0, median(peers)):
-            self.eject(s, now, "slow beside its peers")
-            s.slowness = 1.0
-
     def transferred(self, s: Server, work: int, took: int, beside: float) -> None:
         """Learn from a hit how many transfers fit: their number, times the share of full pace each had."""
         pace = work / max(work, took - 20 * MS)
@@ -532,7 +522,7 @@
         if result in ("completed", "error", "full", "missing"):
             server.heard = now
         if source is not None and note in (*FILLS, SOURCE_REFUSED, ORIGIN_FAILED):
-            source.heard, source.missed = now, 0
+            source.heard, source.missed = now, source.missed // 2
             for peer in self.fleet.peers(source):
                 peer.missed += bool(peer.feeds)
         elif source is not None and note in (HIT, JOINED, PAST_FRESH):
@@ -556,7 +546,6 @@
                 off = min(wait - self.first_byte_after, 5 * self.first_byte_after)
                 self.first_byte_after += off * LEARN
                 self.first_byte_spread += (abs(off) - self.first_byte_spread) * LEARN
-                self.fleet.pace(source, (wait + 20 * MS) / (self.first_byte_after + 20 * MS), now)
         elif note in (SOURCE_REFUSED, SOURCE_LOST, SOURCE_LACKS, ORIGIN_FAILED):
             txn.past_fresh = True
             if source is not None:
@@ -606,8 +595,8 @@
         late = sum(now - h.sent >= self.fill_patience(h) for h in source.feeds.values())
         if source.missed >= MISSED_FILLS and late >= LATE_FILLS and not source.ejected_until:
             source.fails = max(source.fails, FAIL_SILENT)
-            self.fleet.eject(source, now, "no fill comes from it")
-        if source.ejected_until and source.heard < hop.sent:
+            self.fleet.eject(source, now, "its fills do not come")
+        if source.ejected_until:
             hop.alone = True
             hop.txn.bad_sources.add(source.name)
             return self.drop(hop)
