An origin that fails is asked by few txns; parents give what they hold

Holds against any failing origin where failed fills say so; where only hits are told it does nothing.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -36,6 +36,7 @@
 FAIL_SILENT = 0.21  # the share that silence sets: one answer clears it
 LATE_FILLS, MISSED_FILLS = 2, 5  # a source is slow or silent: so many late, and so many more from its peers
 FAIL_TIMES = 2.0  # ... if it is also this many times the median of its peers
+ORIGIN_TRY = 0.2  # share of txns whose fills may ask an origin that fails
 EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND  # ejection, doubling each time
 QUIET_LEAST, QUIET_TIMES = 300 * MS, 1.5  # suspect silence: this and so many times a hop's due
 RETRY_SHARE, RETRY_MOST = 0.3, 20.0  # retry budget: further hops for each txn, and the most that are saved up
@@ -79,6 +80,7 @@
     beside: int  # hops out there when it was sent
     filling: float  # how likely it is to be filled
     charged: float  # what the source's cold budget was charged
+    fetch: bool  # the source may ask the origin
     out: bool = True
     ran: bool = True  # may have run
     dropped: bool = False  # cancelled by this router
@@ -390,7 +392,7 @@
             return self.give_up(txn)
         mean = max(self.works[txn.rule_at], txn.work)
         worth = rule.importance / self.mean_importance * self.mean_work / max(txn.work, MS)
-        filling = 0.0 if known or rule.never_kept else self.fleet.miss_share
+        filling, fetch = 0.0 if known or rule.never_kept else self.fleet.miss_share, True
         crowd = CROWD_LEAST + min(CROWD_MOST, worth)
         server = self.fleet.cache_for(txn.obj, txn.part, now, mean, crowd, txn.bad_caches,
                                       lambda s: self.may_send(txn, s, now))
@@ -414,10 +416,14 @@
                 source, filling, txn.past_fresh = server, 0.0, True
             else:
                 source = self.fleet.source_for(txn.obj, now, mean, txn.bad_sources)
+            # Guards an origin that fails: parents give what they hold, and a few txns try whether it is back.
+            origin = self.fleet.origin
+            if origin is not None and origin.fails > FAIL_LIMIT and self.random.random() > ORIGIN_TRY:
+                source, fetch, txn.past_fresh = server if source is origin else source, False, True
             charged = mean if source is not None and self.fleet.is_cold(source, now) else 0.0
         server.tokens -= mean if self.fleet.is_cold(server, now) else 0.0
         self.fleet.carried(server, txn.work, now)
-        hop = Hop(txn, len(txn.hops), server, source, now, txn.work, len(server.out), filling, charged)
+        hop = Hop(txn, len(txn.hops), server, source, now, txn.work, len(server.out), filling, charged, fetch)
         if not server.out:
             server.heard = max(server.heard, now)  # nothing was owed until now
         txn.hops.append(hop)
@@ -430,7 +436,7 @@
         age = self.purges.oldest_copy(now, txn.obj, txn.group, span) or (span if span > rule.fresh else 0)
         self.host.hop(txn.ident, server.name, txn.limit_at, source.name if source else None, rank, age,
                       self.joins and not rule.never_kept and not any(h.alone for h in txn.hops),
-                      rule.fresh > 0)
+                      rule.fresh > 0, fetch)
         self.at(now + self.patience(hop), self.hop_due, hop)
         if source in self.fleet.parents:
             self.at(now + self.fill_patience(hop), self.fill_due, hop)
@@ -527,6 +533,9 @@
                 peer.missed += bool(peer.feeds)
         elif source is not None and note in (HIT, JOINED, PAST_FRESH):
             source.tokens += hop.charged  # the source was not asked
+        if self.fleet.origin is not None and note in (FILLED_BY_ORIGIN, ORIGIN_FAILED):
+            self.fleet.origin.fails += ((note == ORIGIN_FAILED) - self.fleet.origin.fails) * FAIL_STEP
+        txn.hopeless = txn.hopeless or (result == "missing" and not hop.fetch)
         if result == "completed":
             self.fleet.judge(server, 0.0, now)
             beside = (hop.beside + len(server.out)) / 2 + 1
--- a/fieldspur/drill/codec.py
+++ b/fieldspur/drill/codec.py
@@ -99,12 +99,13 @@
     def now(self) -> int:
         return self.wire.now
 
-    def hop(self, txn, server, cut_at, source, rank, max_age, join, renew) -> None:
+    def hop(self, txn, server, cut_at, source, rank, max_age, join, renew, fetch) -> None:
         line = f"ticket={txn} server={server} cutAtUs={cut_at // US}"
         if source is None:
             return self.say("attempt " + line)
         age = f" copyAgeUs={max(1, max_age // US)}" if max_age else ""
-        self.say(f"serve_or_fill {line} fromWhere={source} rank={rank}{age} switches={join + 8 * renew}")
+        switches = join + 2 * (not fetch) + 8 * renew
+        self.say(f"serve_or_fill {line} fromWhere={source} rank={rank}{age} switches={switches}")
 
     def cancel(self, txn, number) -> None:
         self.say(f"call_off ticket={txn} trial={number}")
--- a/fieldspur/host.py
+++ b/fieldspur/host.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-RESULTS = ("completed", "error", "full", "timed_out", "unreachable", "broken", "cancelled", "unsent", "missing")
+RESULTS = ("completed", "error", "full", "timed_out", "unreachable", "broken", "cancelled", "unsent",
+           "missing")
 NEVER_RAN = frozenset(("full", "unreachable", "unsent", "missing"))
 
 # How a hop was served, or why its fill failed; 0 where it is not told.
@@ -40,8 +41,11 @@
 
     def now(self) -> int: ...
 
-    def hop(self, txn, server, cut_at: int, source, rank: int, max_age: int, join: bool, renew: bool) -> None:
-        """Send the txn to a server; on a miss it fills from `source`. `max_age` 0 means the rule's own."""
+    def hop(self, txn, server, cut_at: int, source, rank: int, max_age: int, join: bool, renew: bool,
+            fetch: bool) -> None:
+        """Send the txn to a server; on a miss it fills from `source`, the server itself meaning no fill.
+
+        `max_age` 0 means the rule's own; without `fetch` the source gives only what it holds."""
 
     def cancel(self, txn, number: int) -> None:
         """Stop waiting for the txn's hop of that number; its end is still reported."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -93,7 +93,7 @@
     def now(self):
         return self.clock
 
-    def hop(self, ident, server, cut_at, source, rank, max_age, join, renew):
+    def hop(self, ident, server, cut_at, source, rank, max_age, join, renew, fetch):
         txn, s = self.txns[ident], self.servers[server]
         assert txn["final"] is None, "a hop after the final answer"
         assert s["state"] == "up" and s["kind"] == 0 and s["zone"] == 1, "a hop to a server that is not to be used"
@@ -107,7 +107,7 @@
                     obj == txn["obj"] or (obj is None and group == txn["group"])):
                 assert 0 < max_age <= max(1000, self.clock - made), "a copy older than the purge would do"
         hop = {"server": server, "source": source, "at": self.clock, "cut_at": cut_at, "out": True, "result": None,
-               "join": join, "max_age": max_age, "note": 0, "work": txn["kb"] / 1000.0}
+               "join": join, "fetch": fetch, "max_age": max_age, "note": 0, "work": txn["kb"] / 1000.0}
         txn["hops"].append(hop)
         self.check_cold(server, 0.5)
         if source and source != "origin":
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -157,3 +157,14 @@
     day.pass_time(300 * MS)
     moved = [day.hops(i)[-1] for i in range(12) if len(day.hops(i)) > 1]
     assert moved and all(h["source"] != bad and not h["join"] for h in moved)
+
+
+def test_an_origin_that_fails_is_asked_by_few():
+    """Found on craft-market: the market store had stopped, and every miss went on asking it."""
+    day = Referee()
+    for ident in range(60):
+        day.arrive(ident, obj=f"o{ident}")
+        while day.txns[ident]["final"] is None:
+            day.end(ident, *(("full", ORIGIN_FAILED) if day.hops(ident)[-1]["fetch"] else ("missing", 8)))
+    asked = [any(h["fetch"] for h in day.hops(i)) for i in range(60)]
+    assert asked[0] and 0 < sum(asked[20:]) <= 20
