--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,4 @@
-"""A plain referee: a host that records what a Router does and holds it to the rules, written for clarity not speed."""
+"""A plain referee: a host that records what a Router does and holds it to the rules, slow and clear."""
 
 from fieldspur.decide import MS, SECOND, Collapsing, Fleet, Purges, Router
 from fieldspur.host import HIT, JOINED, NEVER_RAN, PAST_FRESH, RemapRule
@@ -8,24 +8,26 @@
 
 
 def rule(kind="repeatable", group="all", never_kept=False, fresh=0, grace=0):
-    return RemapRule(kind, group, 3 * SECOND, 1.0, 0.2, 500 * MS, 2.0, 4 * SECOND, never_kept, fresh, grace, 0.5)
+    return RemapRule(kind, group, 3 * SECOND, 1.0, 0.2, 500 * MS, 2.0, 4 * SECOND, never_kept, fresh, grace,
+                     0.5)
 
 
 class Referee:
     """The host of one Router. Every call is checked against the rules as they are worded."""
 
-    def __init__(self, rules=None, caches=3, second_copies=True, come_back=SECOND, sized="nominal", kb_per_s=1000.0,
-                 rating=10.0):
+    def __init__(self, rules=None, caches=3, second_copies=True, come_back=SECOND, sized="nominal",
+                 kb_per_s=1000.0, rating=10.0):
         self.clock, self.rules, self.second_copies = 1000 * SECOND, rules or [rule()], second_copies
         self.txns, self.alarms, self.lines, self.rating = {}, [], [], rating
         self.servers, self.purges = {}, []
         fleet = Fleet(zone=1, parent_kind=1, origin_kind=2, sized=sized, cache_share=0.5, parent_share=0.25,
-                      cache_cold=(COLD, RAMP, MULTIPLE), parent_cold=(COLD, RAMP, MULTIPLE), fall_span=SPAN, link=20.0, siblings=True)
-        self.router = Router(self, 7, self.rules, fleet, Purges(GONE_EVERYWHERE), Collapsing(), kb_per_s=kb_per_s,
-                             hop_limit=8, joins=True, probes=False, cancels=True,
+                      cache_cold=(COLD, RAMP, MULTIPLE), parent_cold=(COLD, RAMP, MULTIPLE), fall_span=SPAN,
+                      link=20.0, siblings=True)
+        self.router = Router(self, 7, self.rules, fleet, Purges(GONE_EVERYWHERE), Collapsing(),
+                             kb_per_s=kb_per_s, hop_limit=8, joins=True, probes=False, cancels=True,
                              longest_come_back=come_back)
-        self.list_servers({f"c{n}": (1, 0, n % 2) for n in range(caches)} | {f"p{n}": (0, 1, 0) for n in range(2)}
-                          | {"origin": (0, 2, 0)}, complete=True)
+        self.list_servers({f"c{n}": (1, 0, n % 2) for n in range(caches)}
+                          | {f"p{n}": (0, 1, 0) for n in range(2)} | {"origin": (0, 2, 0)}, complete=True)
 
     # What the tests make happen.
 
@@ -36,7 +38,8 @@
                 if name not in rows:
                     self.servers[name]["state"] = "gone"
         for name, (zone, kind, cell) in rows.items():
-            self.servers[name] = {"state": state, "zone": zone, "kind": kind, "cell": cell, "started": started}
+            self.servers[name] = {"state": state, "zone": zone, "kind": kind, "cell": cell,
+                                  "started": started}
             self.router.server_listed(name, state, started, zone, self.rating, kind, cell)
         self.router.list_ends()
 
@@ -46,8 +49,8 @@
                           started=s["started"] if started is None else started)
 
     def arrive(self, ident, rule_at=0, obj="a", part=0, left=4 * SECOND, kb=100.0, group=1):
-        self.txns[ident] = {"rule": self.rules[rule_at], "limit": self.clock + left, "hops": [], "final": None,
-                            "obj": obj, "group": group, "kb": kb}
+        self.txns[ident] = {"rule": self.rules[rule_at], "limit": self.clock + left, "hops": [],
+                            "final": None, "obj": obj, "group": group, "kb": kb}
         self.router.txn_arrived(ident, rule_at, obj, part, left, kb, group)
 
     def end(self, ident, result, note=0, number=None, waited=None):
@@ -71,8 +74,7 @@
     def pass_time(self, span):
         until = self.clock + span
         while True:
-            cuts = [(max(h["cut_at"], h.get("cancelled", 0) or h["cut_at"]), 0, i, n) for i, t in self.txns.items()
-                    for n, h in enumerate(t["hops"]) if h["out"] and not h.get("cancelled")]
+            cuts = [(h["cut_at"], 0, i, n) for i, t in self.txns.items() for n, h in enumerate(t["hops"]) if h["out"] and not h.get("cancelled")]
             gone = [(h["cancelled"] + 2 * MS, 1, i, n) for i, t in self.txns.items()
                     for n, h in enumerate(t["hops"]) if h["out"] and h.get("cancelled")]
             due = sorted(cuts + gone + [(at, 2, label, 0) for label, at in self.alarms])[:1]
@@ -96,7 +98,7 @@
     def hop(self, ident, server, cut_at, source, rank, max_age, join, renew, fetch):
         txn, s = self.txns[ident], self.servers[server]
         assert txn["final"] is None, "a hop after the final answer"
-        assert s["state"] == "up" and s["kind"] == 0 and s["zone"] == 1, "a hop to a server that is not to be used"
+        assert (s["state"], s["kind"], s["zone"]) == ("up", 0, 1), "a hop to a server that is not to be used"
         assert source is None or self.servers[source]["state"] == "up", "a source that drains or is gone"
         assert self.second_copies or not any(h["out"] for h in txn["hops"]), "two hops out at once"
         assert self.may_send(txn, server), "an effect may happen twice"
@@ -106,22 +108,25 @@
             if self.clock - made <= GONE_EVERYWHERE and not txn["rule"].never_kept and (
                     obj == txn["obj"] or (obj is None and group == txn["group"])):
                 assert 0 < max_age <= max(1000, self.clock - made), "a copy older than the purge would do"
-        hop = {"server": server, "source": source, "at": self.clock, "cut_at": cut_at, "out": True, "result": None,
-               "join": join, "fetch": fetch, "max_age": max_age, "note": 0, "work": txn["kb"] / 1000.0}
+        hop = {"server": server, "source": source, "at": self.clock, "cut_at": cut_at, "out": True,
+               "result": None, "join": join, "fetch": fetch, "max_age": max_age, "note": 0, "work": txn["kb"] / 1000.0}
         txn["hops"].append(hop)
         self.check_cold(server, 0.5)
         if source and source != "origin":
             self.check_cold(source, 0.25)
 
     def check_cold(self, name, share):
-        """All that this router asked of a cold server within any span stays within its share of the budget."""
+        """All that this router asked of a cold server within any span stays within its share."""
         started = self.servers[name]["started"]
         if not started or self.clock - started >= RAMP:
             return
-        asked = [h for t in self.txns.values() for h in t["hops"] if self.clock - h["at"] < SPAN and h["at"] >= started
-                 and (h["server"] == name or (h["source"] == name and h["note"] not in (HIT, JOINED, PAST_FRESH)))]
+        hops = [h for t in self.txns.values() for h in t["hops"]
+                if self.clock - h["at"] < SPAN and h["at"] >= started]
+        asked = [h for h in hops if h["server"] == name
+                 or (h["source"] == name and h["note"] not in (HIT, JOINED, PAST_FRESH))]
         able = self.rating * (COLD + (1 - COLD) * (self.clock - started) / RAMP)
-        assert sum(h["work"] for h in asked) <= share * MULTIPLE * able * SPAN / SECOND, "a cold server pushed over"
+        budget = share * MULTIPLE * able * SPAN / SECOND
+        assert sum(h["work"] for h in asked) <= budget, "a cold server pushed over"
 
     def may_send(self, txn, server):
         ran = [h for h in txn["hops"] if h["out"] or h["result"] not in NEVER_RAN]
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -107,7 +107,7 @@
 
 
 def test_a_failed_fill_makes_a_copy_within_its_grace_do():
-    """Found on craft-market: the origin had stopped, and pages past their fresh time had no copy that would do."""
+    """Found on craft-market: the origin had stopped, and no copy past its fresh time would do."""
     day = Referee(rules=[rule(fresh=2 * SECOND, grace=9 * SECOND)])
     day.arrive(0)
     day.end(0, "error", ORIGIN_FAILED)
@@ -116,7 +116,8 @@
 
 @pytest.mark.parametrize("text", [
     "commit\n", "sync nowUs=x frame=1\ncommit\n", "sync frame=1\n", "sync nowUs=1 frame=1\n",
-    "sync nowUs=1 frame=1\n=3\ncommit\n", "sync nowUs=1 frame=1\ntarget_instance router=a\ntimer label=1\ncommit\n",
+    "sync nowUs=1 frame=1\n=3\ncommit\n",
+    "sync nowUs=1 frame=1\ntarget_instance router=a\ntimer label=1\ncommit\n",
     "sync nowUs=1 frame=1\ntarget_instance router=a\nenlist rngSeed=1 conf={\ncommit\n",
     "sync nowUs=1 frame=1\nsync nowUs=2 frame=2\n", "sync nowUs=1 frame=1\ncommit oops\n"])
 def test_bad_input_is_named_and_gets_no_half_reply(text):
@@ -143,7 +144,7 @@
 
 
 def test_a_source_that_sends_nothing_is_left_while_others_send():
-    """Found on craft-market and archive-net: a parent took fills and sent none; each waited for its time limit."""
+    """Found on craft-market and archive-net: a parent took fills and sent none."""
     day = Referee(caches=1)
     for ident in range(12):
         day.arrive(ident, obj=f"o{ident}", kb=10.0)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,8 +7,8 @@
 from fieldspur.host import RESULTS
 from helpers import Referee, rule
 
-RULES = [rule(), rule(fresh=2 * SECOND), rule("keyed", "all", True), rule("keyed", "zone"), rule("keyed", "cell"),
-         rule("unrepeatable", never_kept=True), rule("unrepeatable")]
+RULES = [rule(), rule(fresh=2 * SECOND), rule("keyed", "all", True), rule("keyed", "zone"),
+         rule("keyed", "cell"), rule("unrepeatable", never_kept=True), rule("unrepeatable")]
 STEPS = st.one_of(
     st.tuples(st.just("arrive"), st.integers(0, len(RULES) - 1), st.sampled_from("abc"), st.integers(0, 1),
               st.integers(1, 4000), st.integers(1, 6)),
@@ -31,7 +31,8 @@
         open_txns = [i for i, t in day.txns.items() if not t["final"]]
         if step[0] == "arrive":
             for part in range(step[5]):  # a few parts at once
-                day.arrive(len(day.txns), step[1], step[2], step[3] + part, step[4] * MS, kb, ord(step[2]) % 2)
+                group = ord(step[2]) % 2
+                day.arrive(len(day.txns), step[1], step[2], step[3] + part, step[4] * MS, kb, group)
         elif step[0] == "end" and live:
             day.end(live[step[1] % len(live)], step[2], step[3])
         elif step[0] == "pass":
@@ -44,8 +45,8 @@
             day.withdraw(open_txns[step[1] % len(open_txns)])
         for ident, txn in day.router.txns.items():  # both agree on what is allowed
             if not txn.ended:
-                for server in day.router.fleet.caches:
-                    assert day.router.may_send(txn, server, day.clock) == day.may_send(day.txns[ident], server.name)
+                for s in day.router.fleet.caches:
+                    assert day.router.may_send(txn, s, day.clock) == day.may_send(day.txns[ident], s.name)
                 assert day.router.may_reject(txn) == day.may_reject(day.txns[ident])
     day.pass_time(10 * SECOND)
     assert all(t["final"] for t in day.txns.values())
