--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -28,9 +28,8 @@
 SPILL, SPILL_NEAR, SPILL_GAIN = 2.0, 1.3, 0.6  # crowd at which home spreads (NEAR: supplies it)
 CROWD_LEAST, CROWD_MOST = 1.5, 2.5  # admission: hops over what fits, for a txn of little worth; most on top
 FITS_FIRST, FITS_STEP = 4.0, 0.1  # transfers that fit at full pace, at first; weight of one answer
-FILL_LATE = 0.8  # how likely a hop out for longer than a hit takes is being filled
+FILL_LATE, DUE_WAIT = 0.8, 100 * MS  # chance that a hop past a hit's time is a fill; a fill's usual wait
 LINK_SHARE = 0.7  # of the crowd that a cache may have is the most on the way in
-DUE_WAIT = 100 * MS  # a fill's wait for its source that counts as usual
 LINK_FIRST = 0.5  # fills that fit on the way in, over what fits at the caches, before any is learned
 FAIL_STEP, FAIL_LIMIT = 0.2, 0.35  # weight of one result in a server's failure share; the share that ejects
 FAIL_SILENT = 0.21  # the share that silence sets: one answer clears it
@@ -289,7 +288,7 @@
 
     # Choice.
 
-    def cache_for(self, obj, part, now, mean, crowd, avoid, allowed) -> Server | None:
+    def cache_for(self, obj, part, now, mean, crowd, avoid, follow, allowed) -> Server | None:
         """The home cache, or as far down its order as health, budgets and crowding make it go.
 
         `crowd` is how many times what fits at full pace may be out there with this txn."""
@@ -303,6 +302,8 @@
         def crowding(s: Server) -> float:
             idle = self.filling(s, now) * (1 - 1 / max(1.0, link))  # fills held up leave its own link idle
             return (len(s.out) + 1 - idle) / max(s.fits, 1.0)
+        if follow in fit and crowding(follow) <= crowd:
+            return follow  # where the leader went there is a fill to join
         home = crowding(fit[0])
         if home <= (SPILL_NEAR if self.siblings else max(SPILL, crowd) if link > 1 else SPILL):
             return fit[0]
@@ -354,7 +355,7 @@
             return self.send(txn)
         self.mean_work += (work - self.mean_work) * LEARN
         self.mean_importance += (rule.importance - self.mean_importance) * LEARN
-        home = self.fleet.cache_for(obj, part, now, self.works[rule_at], math.inf, (), lambda s: True)
+        home = self.fleet.cache_for(obj, part, now, self.works[rule_at], math.inf, (), None, lambda s: True)
         key, purged = (obj, part), self.purges.latest(now, obj, group)
         if home is not None and self.collapsing.is_known(key, home, now, purged):
             return self.send(txn, known=True)  # the first cache check finds it
@@ -366,25 +367,24 @@
         free_at = min(flight.since + int(self.first_byte_after + 2 * self.first_byte_spread),
                       txn.sla_at - int(1.2 * work) - 50 * MS, now + OUTER_WAIT, txn.limit_at - work)
         if free_at <= now or len(flight.waiters) >= MOST_WAITERS:
-            return self.send(txn)
+            return self.send(txn, known=True, leader=flight.leader)
         flight.waiters[ident] = txn
         txn.waits = True
         self.at(free_at, self.wait_over, txn)
 
     def wait_over(self, txn: Txn) -> None:
         if txn.waits and not txn.ended:
+            leader = self.collapsing.flights[txn.obj, txn.part].leader
             self.leave_list(txn)
-            self.send(txn, known=True)
+            self.send(txn, known=True, leader=leader)
 
     def leave_list(self, txn: Txn) -> None:
         if txn.waits:
             self.collapsing.flights[txn.obj, txn.part].waiters.pop(txn.ident)
         txn.waits = False
 
-    def send(self, txn: Txn, known: bool = False) -> None:
-        """Send the txn on its next hop, or end it at once if there is nowhere to go.
-
-        `known`: it is expected to hit, or to join a fill."""
+    def send(self, txn: Txn, known: bool = False, leader: Txn | None = None) -> None:
+        """Send the txn on its next hop (`known`: to hit, or to join its leader's fill), or end it at once."""
         now, rule = self.host.now(), txn.rule
         if txn.ended or any(h.out for h in txn.hops):
             return None
@@ -394,7 +394,8 @@
         worth = rule.importance / self.mean_importance * self.mean_work / max(txn.work, MS)
         filling, fetch = 0.0 if known or rule.never_kept else self.fleet.miss_share, True
         crowd = CROWD_LEAST + min(CROWD_MOST, worth)
-        server = self.fleet.cache_for(txn.obj, txn.part, now, mean, crowd, txn.bad_caches,
+        follow = leader.hops[-1].server if leader is not None and leader.hops else None
+        server = self.fleet.cache_for(txn.obj, txn.part, now, mean, crowd, txn.bad_caches, follow,
                                       lambda s: self.may_send(txn, s, now))
         if server is None:  # nowhere to go, or too crowded for what the txn is worth
             return self.give_up(txn)
@@ -488,7 +489,7 @@
             return self.send(heir)
         for waiter in flight.waiters.values():
             waiter.waits = False
-            self.send(waiter, known=True)
+            self.send(waiter, known=True, leader=txn)
 
     def drop(self, hop: Hop) -> None:
         """Stop waiting for a hop, unless that would leave open whether an unrepeatable txn ran."""
--- a/fieldspur/drill/codec.py
+++ b/fieldspur/drill/codec.py
@@ -1,4 +1,4 @@
-"""The simulator's wire: text lines in, calls on each instance's Router, reply lines out. It decides nothing."""
+"""The simulator's wire: text lines in, calls on each Router, reply lines out. It decides nothing."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 
 US = 1000  # the wire counts microseconds, the project nanoseconds
 TEXT_FIELDS = ("conf", "message")
-RESULT_WORDS = {"S": "completed", "E": "error", "F": "full", "T": "timed_out", "C": "unreachable", "R": "broken",
-                "X": "cancelled", "N": "unsent", "M": "missing"}
+RESULT_WORDS = {"S": "completed", "E": "error", "F": "full", "T": "timed_out", "C": "unreachable",
+                "R": "broken", "X": "cancelled", "N": "unsent", "M": "missing"}
 STATE_WORDS = {"U": "up", "L": "draining", "D": "gone"}
 KIND_WORDS = {"idempotent": "repeatable", "deduplicated": "keyed", "at_most_once": "unrepeatable"}
 LOAD_WORDS = {"active": "inflight", "cpu": "util", "x0": "hits", "x1": "fetching"}
@@ -74,10 +74,11 @@
         self.wire, self.name = wire, name
         info, sure, may = conf["familyInfo"], conf["guarantees"], conf["allowed"]
         rules = [
-            RemapRule(KIND_WORDS[row["repeat"]], row.get("dedupScope", "all"), row.get("memorySpanUs", 0) * US,
-                      float(row["worth"]), float(row.get("lateWorth", 0)), row["aimUs"] * US,
+            RemapRule(KIND_WORDS[row["repeat"]], row.get("dedupScope", "all"),
+                      row.get("memorySpanUs", 0) * US, float(row["worth"]), float(row.get("lateWorth", 0)), row["aimUs"] * US,
                       float(row.get("aimStretch", 0)), row["hardLimitUs"] * US, bool(info["neverKept"][at]),
-                      info["goodForUs"][at] * US, info["olderByUs"][at] * US, float(info["classStaleWorth"][at]))
+                      info["goodForUs"][at] * US, info["olderByUs"][at] * US,
+                      float(info["classStaleWorth"][at]))
             for at, row in enumerate(conf["classes"])]
         self.columns = [LOAD_WORDS.get(word, word) for word in conf["report"]["columns"]]
         fleet = Fleet(
@@ -85,9 +86,11 @@
             sized=conf["weights"], cache_share=1 / max(1, info["countByZone"][conf["zone"]]),
             parent_share=1 / max(1, conf["replicasOfMe"]),
             cache_cold=(float(sure["coldFrom"]), sure["rampTimeUs"] * US, float(sure["fallMultiple"])),
-            parent_cold=(float(info["upperColdFrom"]), info["parentRampUs"] * US, float(info["upperFallMultiple"])),
+            parent_cold=(float(info["upperColdFrom"]), info["parentRampUs"] * US,
+                         float(info["upperFallMultiple"])),
             fall_span=sure["overloadForUs"] * US,
-            link=info["pipeKbPerS"][conf["zone"]] / max(1.0, info["clientKbPerS"]), siblings=info["siblings"] != "none")
+            link=info["pipeKbPerS"][conf["zone"]] / max(1.0, info["clientKbPerS"]),
+            siblings=info["siblings"] != "none")
         self.router = Router(
             self, seed, rules, fleet, Purges(info["goneEverywhereUs"] * US), Collapsing(),
             kb_per_s=float(info["clientKbPerS"]), hop_limit=may["sendCap"], joins=bool(info["mergesFills"]),
@@ -139,8 +142,8 @@
             router.txn_arrived(whole(f, "ticket"), whole(f, "cls"), f.get("object", ""), whole(f, "part", 0),
                                whole(f, "leftUs") * US, real(f, "kb", 0.0), whole(f, "purgeGroup", -1))
         elif name == "verdict":
-            router.hop_ended(whole(f, "ticket"), whole(f, "trial"), self.result(f), whole(f, "durationUs", 0) * US,
-                             f.get("noMore") == "1", whole(f, "detail", 0),
+            router.hop_ended(whole(f, "ticket"), whole(f, "trial"), self.result(f),
+                             whole(f, "durationUs", 0) * US, f.get("noMore") == "1", whole(f, "detail", 0),
                              whole(f, "waitedUs") * US if "waitedUs" in f else None, self.load(f))
         elif name == "ack_first":
             router.first_byte(whole(f, "ticket"), whole(f, "trial"))
@@ -151,11 +154,12 @@
         elif name == "invalidated":
             router.purged(f.get("object"), whole(f, "group", -1), whole(f, "copyAgeUs", 0) * US)
         elif name == "health_result":
-            router.probe_ended(need(f, "server"), self.result(f), whole(f, "durationUs", 0) * US, self.load(f))
+            router.probe_ended(need(f, "server"), self.result(f), whole(f, "durationUs", 0) * US,
+                               self.load(f))
         elif name == "neighbour_says":
             try:
-                data = f.get("bytes", "-")
-                router.peer_said(whole(f, "sender"), b"" if data == "-" else base64.b64decode(data, validate=True))
+                data = f.get("bytes", "-").replace("-", "", 1)
+                router.peer_said(whole(f, "sender"), base64.b64decode(data, validate=True))
             except binascii.Error:
                 raise BadInput("'bytes' is not base64") from None
 
@@ -238,8 +242,8 @@
         state = STATE_WORDS.get(need(f, "stageState"))
         if state is None:
             raise BadInput(f"unknown state '{f['stageState'][:40]}'")
-        self.listing.server_listed(need(f, "server"), state, whole(f, "startedAtUs", 0) * US, whole(f, "locality", 0),
-                                   real(f, "rating", 1.0), whole(f, "shape", 0), whole(f, "stripe", 0))
+        self.listing.server_listed(need(f, "server"), state, whole(f, "startedAtUs", 0) * US,
+                                   whole(f, "locality", 0), real(f, "rating", 1.0), whole(f, "shape", 0), whole(f, "stripe", 0))
         self.rows_due -= 1
         if not self.rows_due:
             self.listing.list_ends()
