--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -74,7 +74,8 @@
     def pass_time(self, span):
         until = self.clock + span
         while True:
-            cuts = [(h["cut_at"], 0, i, n) for i, t in self.txns.items() for n, h in enumerate(t["hops"]) if h["out"] and not h.get("cancelled")]
+            cuts = [(h["cut_at"], 0, i, n) for i, t in self.txns.items() for n, h in enumerate(t["hops"])
+                    if h["out"] and not h.get("cancelled")]
             gone = [(h["cancelled"] + 2 * MS, 1, i, n) for i, t in self.txns.items()
                     for n, h in enumerate(t["hops"]) if h["out"] and h.get("cancelled")]
             due = sorted(cuts + gone + [(at, 2, label, 0) for label, at in self.alarms])[:1]
@@ -109,7 +110,8 @@
                     obj == txn["obj"] or (obj is None and group == txn["group"])):
                 assert 0 < max_age <= max(1000, self.clock - made), "a copy older than the purge would do"
         hop = {"server": server, "source": source, "at": self.clock, "cut_at": cut_at, "out": True,
-               "result": None, "join": join, "fetch": fetch, "max_age": max_age, "note": 0, "work": txn["kb"] / 1000.0}
+               "result": None, "join": join, "fetch": fetch, "max_age": max_age, "note": 0,
+               "work": txn["kb"] / 1000.0}
         txn["hops"].append(hop)
         self.check_cold(server, 0.5)
         if source and source != "origin":
