--- a/fieldspur/drill/codec.py
+++ b/fieldspur/drill/codec.py
@@ -75,7 +75,8 @@
         info, sure, may = conf["familyInfo"], conf["guarantees"], conf["allowed"]
         rules = [
             RemapRule(KIND_WORDS[row["repeat"]], row.get("dedupScope", "all"),
-                      row.get("memorySpanUs", 0) * US, float(row["worth"]), float(row.get("lateWorth", 0)), row["aimUs"] * US,
+                      row.get("memorySpanUs", 0) * US, float(row["worth"]), float(row.get("lateWorth", 0)),
+                      row["aimUs"] * US,
                       float(row.get("aimStretch", 0)), row["hardLimitUs"] * US, bool(info["neverKept"][at]),
                       info["goodForUs"][at] * US, info["olderByUs"][at] * US,
                       float(info["classStaleWorth"][at]))
@@ -243,7 +244,8 @@
         if state is None:
             raise BadInput(f"unknown state '{f['stageState'][:40]}'")
         self.listing.server_listed(need(f, "server"), state, whole(f, "startedAtUs", 0) * US,
-                                   whole(f, "locality", 0), real(f, "rating", 1.0), whole(f, "shape", 0), whole(f, "stripe", 0))
+                                   whole(f, "locality", 0), real(f, "rating", 1.0), whole(f, "shape", 0),
+                                   whole(f, "stripe", 0))
         self.rows_due -= 1
         if not self.rows_due:
             self.listing.list_ends()
