Hops that end at their limit while filling count against the origin

Holds against any stalled way behind the parents; may hurt where a jammed link alone makes fills miss their limit, as parents then fetch less.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -417,8 +417,7 @@
                 source, filling, txn.past_fresh = server, 0.0, True
             else:
                 source = self.fleet.source_for(txn.obj, now, mean, txn.bad_sources)
-            # Guards an origin that fails: parents give what they hold, and a few txns try whether it is back.
-            origin = self.fleet.origin
+            origin = self.fleet.origin  # where it fails, parents give what they hold and few txns try it
             if origin is not None and origin.fails > FAIL_LIMIT and self.random.random() > ORIGIN_TRY:
                 source, fetch, txn.past_fresh = server if source is origin else source, False, True
             charged = mean if source is not None and self.fleet.is_cold(source, now) else 0.0
@@ -534,8 +533,9 @@
                 peer.missed += bool(peer.feeds)
         elif source is not None and note in (HIT, JOINED, PAST_FRESH):
             source.tokens += hop.charged  # the source was not asked
-        if self.fleet.origin is not None and note in (FILLED_BY_ORIGIN, ORIGIN_FAILED):
-            self.fleet.origin.fails += ((note == ORIGIN_FAILED) - self.fleet.origin.fails) * FAIL_STEP
+        hung = result == "timed_out" and hop.filling > 0  # guards against an origin that answers nothing, too
+        if self.fleet.origin is not None and (hung or note in (FILLED_BY_ORIGIN, ORIGIN_FAILED)):
+            self.fleet.origin.fails += ((note != FILLED_BY_ORIGIN) - self.fleet.origin.fails) * FAIL_STEP
         txn.hopeless = txn.hopeless or (result == "missing" and not hop.fetch)
         if result == "completed":
             self.fleet.judge(server, 0.0, now)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -169,3 +169,12 @@
             day.end(ident, *(("full", ORIGIN_FAILED) if day.hops(ident)[-1]["fetch"] else ("missing", 8)))
     asked = [any(h["fetch"] for h in day.hops(i)) for i in range(60)]
     assert asked[0] and 0 < sum(asked[20:]) <= 20
+
+
+def test_an_origin_that_answers_nothing_is_asked_by_few():
+    """Found on archive-net: the origin hung, no failed fill said so, and images waited for their limit."""
+    day = Referee(caches=1)
+    for ident in range(8):
+        day.arrive(ident, obj=f"o{ident}", kb=10.0, left=300 * MS)
+        day.pass_time(320 * MS)
+    assert day.hops(0)[0]["fetch"] and day.router.fleet.origin.fails > 0.35
