Crowds of all routers from reports and pace; cold budgets by lot; homes by part in a crowd

Cause: with twelve routers to a location each sees a twelfth of it. Own hops over a share that is smaller than one txn refused fills on an idle way in, called slow caches silent and missed jammed homes; a cold cache of unknown size was sent what its overloaded peers had been asked. Change: crowding is what reports tell (answers, or a probe each 400 ms) and hits' pace shows, own counts less what chance brings; parts have homes of their own where a router has under a quarter of its location; a cold server's budget is drawn by lot in each span, and a warm server's size taken from work done. No memory of answers any more. Also holds against: any server crowded by others, whatever crowds it. May hurt: where reports are late and wrong.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -13,32 +13,34 @@
 from hashlib import blake2b
 from statistics import median
 
-from .host import (FILLED, FILLED_BY_ORIGIN, HIT, JOINED, NEVER_RAN, NO_FILL_PLACE, ORIGIN_FAILED, PAST_FRESH,
+from .host import (FILLED, FILLED_BY_ORIGIN, HIT, JOINED, NEVER_RAN, ORIGIN_FAILED, PAST_FRESH,
                    SOURCE_LACKS, SOURCE_LOST, SOURCE_REFUSED, Host, RemapRule)
 
 MS, SECOND = 1_000_000, 1_000_000_000
 FILLS = (FILLED, FILLED_BY_ORIGIN)
 
-OUTER_WAIT = 3 * SECOND  # the source's lock time-out, kept as the outer bound of any wait
-MOST_WAITERS = 64  # waiting list of one object and part; further txns go straight to the home
-KNOWN_SPAN, KNOWN_MOST = 8 * SECOND, 4096  # how long, for how many parts, an answer counts as a hit
+OUTER_WAIT, MOST_WAITERS = 3 * SECOND, 64  # the source's lock time-out bounds any wait; list of one part
+ORDERS_MOST = 1024  # rendezvous orders kept
 KEPT_RANK = 2  # above the lowest rank
-COLD_USE = 0.45  # share of a cold server's budget in its bucket, and again as refill within the span
+COLD_USE = 0.45  # share of a cold server's budget that all routers together are to use in a span
+LEAST_RATE = 0.03  # transfers that a warm server of unknown size is taken to carry for this router
 ROUGH_RATING = 0.7  # a roughly known size may be this much too large
+OBJECT_HOMES = 0.25  # least share of its location that a router has for objects to be homed whole
 SPILL, SPILL_NEAR, SPILL_GAIN = 2.0, 1.3, 0.6  # crowd at which home spreads (NEAR: supplies it)
 CROWD_LEAST, CROWD_MOST = 1.5, 2.5  # admission: hops over what fits, for a txn of little worth; most on top
-FITS_FIRST, FITS_STEP = 4.0, 0.1  # transfers that fit at full pace, at first; weight of one answer
+FITS_FIRST, FITS_STEP = 6.0, 0.1  # transfers that fit in a cache, at first; weight of one answer
 FILL_LATE, DUE_WAIT = 0.8, 100 * MS  # chance that a hop past a hit's time is a fill; a fill's usual wait
-LINK_SHARE = 0.7  # of the crowd that a cache may have is the most on the way in
-LINK_FIRST = 0.5  # fills that fit on the way in, over what fits at the caches, before any is learned
-FAIL_STEP, FAIL_LIMIT = 0.2, 0.35  # weight of one result in a server's failure share; the share that ejects
+LINK_SHARE, LINK_FIRST = 0.7, 0.5  # most crowd on the way in over a cache's; what fits there, where not told
+FAIL_STEP, FAIL_LIMIT, FAIL_TIMES = 0.2, 0.35, 2.0  # weight of one result; share, and over peers, that ejects
 FAIL_SILENT = 0.21  # the share that silence sets: one answer clears it
 LATE_FILLS, MISSED_FILLS = 2, 5  # a source is slow or silent: so many late, and so many more from its peers
-FAIL_TIMES = 2.0  # ... if it is also this many times the median of its peers
 ORIGIN_TRY = 0.2  # share of txns whose fills may ask an origin that fails
 EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND  # ejection, doubling each time
-QUIET_LEAST, QUIET_TIMES = 300 * MS, 1.5  # suspect silence: this and so many times a hop's due
+QUIET_LEAST, QUIET_TIMES, ALONE_TIMES = 300 * MS, 1.5, 2.0  # silence: this, and times a hop's due; one hop's
 RETRY_SHARE, RETRY_MOST = 0.3, 20.0  # retry budget: further hops for each txn, and the most that are saved up
+SEEN_SPAN, TOLD_SPAN, BUSY = 2 * SECOND, 1500 * MS, 0.85  # how long crowding seen counts; told; a busy cache
+CROWD_STEP, PACE_STEP = 0.15, 0.4  # weight of one cache's crowd in the usual one, of one hit's in a cache's
+FILL_PACE, PROBE_GAP = 2.5, 400 * MS  # a fill's full pace over a client's; time between probes
 FIRST_WORK, FIRST_BYTE = 400 * MS, 80 * MS  # sending time and fill's first byte, before any is learned
 LEARN = 0.05  # weight of one sample in what is learned
 
@@ -57,15 +59,15 @@
     out: dict = field(default_factory=dict)  # hops out there, oldest first
     feeds: dict = field(default_factory=dict)  # hops out elsewhere that name it as their source
     fits: float = FITS_FIRST  # how many of this router's transfers run there at full pace
-    rate: float = 0.0  # sending time a second that this router lately asked of it
-    rate_at: int = 0
+    rate: tuple = (0.0, 0)  # sending time a second that it lately did for this router, as of when
     heard: int = 0  # when it last answered anything, or a fill from it came
     missed: int = 0  # fills that came from its peers since, halved at each of its own
     fails: float = 0.0
     ejected_until: int = 0  # 0: in service; past: one hop at a time until it has proved itself
     ejections: int = 0
-    tokens: float = 0.0
-    tokens_at: int = 0
+    crowd: tuple = (0.0, 0)  # transfers of all routers over those that fit, as told or as hits' pace shows
+    tokens: float = 0.0  # what is left of this router's part of a cold server's budget
+    tokens_for: int = -1  # ... in this span since its start
 
 
 @dataclass(slots=True)
@@ -96,7 +98,6 @@
     group: int
     work: int
     sized: bool
-    sla_at: int
     limit_at: int
     hops: list = field(default_factory=list)
     leads: bool = False
@@ -104,8 +105,7 @@
     ended: bool = False
     hopeless: bool = False  # it would have to be filled, and may not
     past_fresh: bool = False  # a copy within its grace will do
-    bad_caches: set = field(default_factory=set)
-    bad_sources: set = field(default_factory=set)
+    avoid: set = field(default_factory=set)  # servers that failed it
 
 
 class Purges:
@@ -113,25 +113,18 @@
 
     def __init__(self, span: int):
         self.span = span
-        self.objects: dict[str, int] = {}
-        self.groups: dict[int, int] = {}
+        self.made: dict[tuple, int] = {}
 
     def note(self, now: int, obj, group: int, age: int) -> None:
-        table, key = (self.groups, group) if obj is None else (self.objects, obj)
-        made = max(now - age, table.pop(key, 0))
-        table[key] = made
-        for old in [k for k, at in list(table.items())[:8] if now - at > 2 * self.span]:
-            del table[old]
-
-    def latest(self, now: int, obj, group: int) -> int:
-        """When the newest binding purge of the object was made; 0 if none binds."""
-        made = max(self.objects.get(obj, 0), self.groups.get(group, 0))
-        return made if made and now - made <= 2 * self.span else 0
+        key = (obj, 0) if obj is not None else (None, group)
+        self.made[key] = max(now - age, self.made.pop(key, 0))
+        for old in [k for k, at in list(self.made.items())[:8] if now - at > 2 * self.span]:
+            del self.made[old]
 
     def oldest_copy(self, now: int, obj, group: int, fresh: int) -> int:
         """The oldest copy that will do, never 0 where a purge binds (0 leaves it to the rule)."""
-        made = self.latest(now, obj, group)
-        return min(max(1000, now - made), fresh or now) if made else 0
+        made = max(self.made.get((obj, 0), 0), self.made.get((None, group), 0))
+        return min(max(1000, now - made), fresh or now) if made and now - made <= 2 * self.span else 0
 
 
 @dataclass(slots=True)
@@ -142,22 +135,10 @@
 
 
 class Collapsing:
-    """Leaders and waiting lists by object and part, and the memory of what home caches lately answered."""
+    """Leaders and waiting lists by object and part."""
 
     def __init__(self):
         self.flights: dict[tuple, Flight] = {}
-        self.known: dict[tuple, tuple[int, int, int]] = {}
-
-    def answered(self, key, server: Server, now: int, fresh: int) -> None:
-        entry = (*key, server.name)
-        self.known.pop(entry, None)
-        self.known[entry] = (server.started, now, now + min(KNOWN_SPAN, fresh or KNOWN_SPAN))
-        if len(self.known) > KNOWN_MOST:
-            del self.known[next(iter(self.known))]
-
-    def is_known(self, key, server: Server, now: int, purged: int) -> bool:
-        started, since, until = self.known.get((*key, server.name), (0, 0, 0))
-        return started == server.started and now < until and purged < since
 
 
 class Fleet:
@@ -170,22 +151,23 @@
         self.size_trust = {"nominal": 1.0, "rough": ROUGH_RATING}.get(sized, 0.0)
         self.cold = {False: (cache_share, *cache_cold), True: (parent_share, *parent_cold)}
         self.fall_span, self.siblings = fall_span, siblings
+        self.share, self.random, self.log = cache_share, random.Random(0), print  # the Router's own
         self.link_fits = link * cache_share  # fills that this router's share of the way in takes at full pace
+        self.link_told, self.link_told_at = 0.0, 0  # how full it is for all routers together
+        self.crowd, self.crowd_at = 0.0, 0  # at the caches here, on average
+        self.orders: dict[tuple, list[Server]] = {}  # rendezvous orders of this list
         self.miss_share = 0.5  # of the txns for objects not known to be at home
         self.servers: dict[str, Server] = {}
         self.caches, self.parents, self.origin = [], [], None  # as listed
         self.listed: set | None = None
-        self.log = print  # the Router puts its host's here
-
-    # The list.
 
     def list_begins(self, complete: bool) -> None:
         self.listed = set() if complete else None
 
     def server_listed(self, name, state, started, zone, rating, kind, cell) -> None:
-        s = self.servers.setdefault(name, Server(name))
+        s = self.servers.setdefault(name, Server(name, fits=FITS_FIRST * self.share))
         if started != s.started:  # a new process: empty, cold, and nothing held against it
-            s.fails, s.ejected_until, s.ejections, s.tokens_at = 0.0, 0, 0, 0
+            s.fails, s.ejected_until, s.ejections, s.tokens_for, s.crowd = 0.0, 0, 0, -1, (0.0, 0)
         if self.size_trust and (rating != s.rating or started != s.started or s.state == "gone"):
             s.fits = rating * self.cold[False][0]
         s.state, s.started, s.zone, s.rating, s.kind, s.cell = state, started, zone, rating, kind, cell
@@ -203,42 +185,53 @@
         self.origin = next((s for s in here if s.kind == self.origin_kind), None)
         above = (self.parent_kind, self.origin_kind)
         self.caches = [s for s in here if s.zone == self.zone and s.kind not in above]
-
-    def weight(self, s: Server) -> float:
-        return max(s.rating, 0.01) if self.size_trust else 1.0
+        self.orders.clear()
 
     def ranked(self, servers: list[Server], key: str) -> list[Server]:
-        """Weighted rendezvous hashing, alike at all routers; health does not enter."""
+        """Weighted rendezvous hashing of caches or parents, alike at all routers; health does not enter."""
         def score(s: Server) -> float:
             word = blake2b(key.encode(), key=s.name.encode()[:64], digest_size=8).digest()
-            return math.log((int.from_bytes(word, "big") + 1) / 2.0**64) / self.weight(s)
-        return sorted(servers, key=score, reverse=True)
+            size = max(s.rating, 0.01) if self.size_trust else 1.0
+            return math.log((int.from_bytes(word, "big") + 1) / 2.0**64) / size
+        at = (key, servers is self.parents)
+        if at not in self.orders:
+            if len(self.orders) >= ORDERS_MOST:
+                del self.orders[next(iter(self.orders))]
+            self.orders[at] = sorted(servers, key=score, reverse=True)
+        return self.orders[at]
+
+    def order(self, obj, part) -> list[Server]:
+        """The home cache and those after it. Where many routers share a location, none of them sees in time
+        that the parts of an object crowd its home, so there each part has a home of its own."""
+        return self.ranked(self.caches, obj if self.share >= OBJECT_HOMES else f"{obj}#{part}")
 
     # Load and cold budgets.
 
     def carried(self, s: Server, work: float, now: int) -> None:
-        s.rate, s.rate_at = self.rate(s, now) + work / (5 * SECOND), now
+        s.rate = (self.rate(s, now) + work / (5 * SECOND), now)
 
     def rate(self, s: Server, now: int) -> float:
-        return s.rate * math.exp((s.rate_at - now) / (5 * SECOND))
+        return s.rate[0] * math.exp((s.rate[1] - now) / (5 * SECOND))
 
     def is_cold(self, s: Server, now: int) -> bool:
         return bool(s.started) and now - s.started < self.cold[s.kind == self.parent_kind][2]
 
     def has_room(self, s: Server, now: int, charge: float) -> bool:
-        """Guards a freshly started server: this router's share of what it can take, as a token bucket."""
+        """Guards a freshly started server: this router's part of what all may send it in each span. A part
+        smaller than one txn is rounded by chance, so that many routers together come out at the budget."""
         if not self.is_cold(s, now) or s.kind == self.origin_kind:
             return True
         share, start, ramp, multiple = self.cold[s.kind == self.parent_kind]
-        if self.size_trust:
-            mine = s.rating * self.size_trust * share
-        else:  # sizes are not told: what this router lately asked of the warm ones
-            rates = [self.rate(p, now) for p in self.peers(s) if not self.is_cold(p, now)]
-            mine = max(0.1, sum(rates) / len(rates) if rates else 0.0)
-        able = mine * (start + (1 - start) * max(0, now - s.started) / ramp) * min(multiple * COLD_USE, 1.0)
-        most = able * self.fall_span
-        s.tokens = min(most, s.tokens + able * (now - s.tokens_at)) if s.tokens_at else most
-        s.tokens_at = now
+        span = max(0, now - s.started) // self.fall_span
+        if s.tokens_for != span:
+            if self.size_trust:
+                mine = s.rating * self.size_trust * share
+            else:  # sizes are not told: what warm peers, or the caches before, did for this router
+                rates = [self.rate(p, now) for p in self.peers(s) if not self.is_cold(p, now)]
+                mine = max(LEAST_RATE, sum(rates) / len(rates) if rates else 0.0)
+            able = mine * (start + (1 - start) * span * self.fall_span / ramp) * min(multiple * COLD_USE, 1.0)
+            whole, part = divmod(able * self.fall_span / charge, 1.0)
+            s.tokens, s.tokens_for = charge * (whole + (self.random.random() < part)), span
         return s.tokens >= charge
 
     # Health.
@@ -250,6 +243,7 @@
         return not s.ejected_until or (now >= s.ejected_until and not s.out and not s.feeds)
 
     def eject(self, s: Server, now: int, why: str) -> None:
+        s.fails = max(s.fails, FAIL_SILENT)
         span = min(EJECT_MOST, EJECT_FIRST << min(s.ejections, 6))
         s.ejected_until, s.ejections = now + span, s.ejections + 1
         self.log(f"ejected {s.name} for {span // MS} ms: {why}")
@@ -266,34 +260,52 @@
     def transferred(self, s: Server, work: int, took: int, beside: float) -> None:
         """Learn from a hit how many transfers fit: their number, times the share of full pace each had."""
         pace = work / max(work, took - 20 * MS)
-        if (pace < 0.85 and beside >= 1.5) or (pace >= 0.85 and beside > s.fits):
+        if self.share >= OBJECT_HOMES and (beside >= 1.5 if pace < 0.85 else beside > s.fits):
             s.fits = max(0.5, s.fits + (beside * pace - s.fits) * FITS_STEP)
 
-    def filled(self, work: int, took: int, beside: float) -> None:
-        """The same for fills on the way in, be its bottleneck the link, the parents or the origin."""
-        pace = work / max(work, took - DUE_WAIT)
-        if (pace < 0.85 and beside >= 2.5) or (pace >= 0.85 and beside > self.link_fits):
-            self.link_fits = max(1.0, self.link_fits + (beside * pace - self.link_fits) * FITS_STEP)
-
     def filling(self, s: Server, now: int) -> float:
         """How many hops out there are being filled; one out for longer than a hit takes likely is."""
-        return sum(FILL_LATE if h.filling and now - h.sent > 1.2 * self.hit_time(h) else h.filling
+        return sum(FILL_LATE if h.filling and now - h.sent > 1.2 * self.hit_time(h, now) else h.filling
                    for h in s.out.values())
 
-    def hit_time(self, hop: Hop) -> float:
-        return hop.work * max(1.0, hop.beside / max(1.0, hop.server.fits))
+    def hit_time(self, hop: Hop, now: int) -> float:
+        return hop.work * max(1.0, hop.beside / max(1.0, hop.server.fits), self.seen(hop.server, now))
 
-    def link_crowding(self, now: int, more: float) -> float:
-        return (sum(self.filling(s, now) for s in self.caches) + more) / max(1.0, self.link_fits)
+    def all_over(self, own: float, fits: float) -> float:
+        """The crowd of all routers, by this one's own count, less what chance may have brought it of that."""
+        chance = (1 - self.share) * math.sqrt(max(own, 0.0)) if self.share < OBJECT_HOMES else 0.0
+        return (own - chance) / max(fits, self.share)
 
-    # Choice.
+    def seen(self, s: Server, now: int) -> float:
+        """The crowd at a cache, as lately seen there, and as at the others the longer that is ago."""
+        usual = self.usual_crowd(now)
+        return usual + (s.crowd[0] - usual) * math.exp((s.crowd[1] - now) / SEEN_SPAN)
 
-    def cache_for(self, obj, part, now, mean, crowd, avoid, follow, allowed) -> Server | None:
-        """The home cache, or as far down its order as health, budgets and crowding make it go.
+    def usual_crowd(self, now: int) -> float:
+        return self.crowd * math.exp((self.crowd_at - now) / SEEN_SPAN)
+
+    def saw(self, s: Server, crowd: float, now: int) -> None:
+        self.crowd = self.usual_crowd(now) + (crowd - self.usual_crowd(now)) * CROWD_STEP
+        s.crowd, self.crowd_at = (crowd, now), now
+
+    def told(self, s: Server, load: dict | None, now: int) -> None:
+        """A load report: of a cache how busy it is, and how full the way in of its location is."""
+        if load is None or s not in self.caches:
+            return
+        if "fetching" in load:
+            self.link_told, self.link_told_at = load["fetching"] / FILL_PACE, now
+        busy = load.get("util", 0.0)  # near 1 it tells no more: hits' pace does
+        self.saw(s, busy if busy < BUSY else max(1.0, self.seen(s, now)), now)
 
-        `crowd` is how many times what fits at full pace may be out there with this txn."""
+    def link_crowding(self, now: int, more: float) -> float:
+        told = self.link_told if self.link_told_at and now - self.link_told_at < TOLD_SPAN else 0.0
+        own = sum(self.filling(s, now) for s in self.caches) + more
+        return max(told, self.all_over(own, self.link_fits))
+
+    def cache_for(self, obj, part, now, mean, crowd, avoid, follow, allowed) -> Server | None:
+        """The home cache, or as far down its order as health, budgets and crowding make it go."""
         link = self.link_crowding(now, 0)
-        able = [s for s in self.ranked(self.caches, obj)
+        able = [s for s in self.order(obj, part)
                 if s.state == "up" and allowed(s) and self.has_room(s, now, mean)]
         fit = ([s for s in able if s.name not in avoid and self.healthy(s, now)]
                or [s for s in able if s.name not in avoid] or able)
@@ -301,14 +313,14 @@
             return None
         def crowding(s: Server) -> float:
             idle = self.filling(s, now) * (1 - 1 / max(1.0, link))  # fills held up leave its own link idle
-            return (len(s.out) + 1 - idle) / max(s.fits, 1.0)
+            return max(self.all_over(len(s.out) + 1 - idle, s.fits), self.seen(s, now))
         if follow in fit and crowding(follow) <= crowd:
             return follow  # where the leader went there is a fill to join
         home = crowding(fit[0])
         if home <= (SPILL_NEAR if self.siblings else max(SPILL, crowd) if link > 1 else SPILL):
-            return fit[0]
+            return fit[0] if home <= max(crowd, 1.0) else None
         # A hot object's home is crowded, and there is room for spreading: its parts do, alike at all routers.
-        spread = self.ranked(fit[1:], f"{obj}#{part}")
+        spread = [s for s in self.ranked(self.caches, f"{obj}#{part}#") if s in fit]
         best = next((s for s in spread if crowding(s) <= SPILL_GAIN * home), fit[0])
         return best if crowding(best) <= max(crowd, 1.0) else None
 
@@ -330,16 +342,17 @@
         self.host, self.rules, self.fleet = host, rules, fleet
         self.purges, self.collapsing = purges, collapsing
         self.random, fleet.log = random.Random(seed), host.log
+        fleet.random = self.random
         self.kb_per_s, self.hop_limit, self.joins = kb_per_s, hop_limit, joins
         self.probes, self.cancels, self.longest_come_back = probes, cancels, longest_come_back
         self.works = [float(FIRST_WORK)] * len(rules)  # mean sending times, learned
         self.first_byte_after, self.first_byte_spread = float(FIRST_BYTE), FIRST_BYTE / 2
         self.txns: dict[int, Txn] = {}
         self.alarms: dict[int, tuple] = {}
-        self.last_label, self.retries = 0, RETRY_MOST
+        self.last_label, self.retries, self.probed_at = 0, RETRY_MOST, 0
         self.mean_work, self.mean_importance = float(FIRST_WORK), 1.0
-        self.list_begins, self.list_ends = fleet.list_begins, fleet.list_ends
-        self.server_listed = fleet.server_listed
+        self.list_begins, self.server_listed, self.list_ends = (
+            fleet.list_begins, fleet.server_listed, fleet.list_ends)
 
     # A txn's way.
 
@@ -347,25 +360,24 @@
         now, rule = self.host.now(), self.rules[rule_at]
         work = int(kb / self.kb_per_s * SECOND) if kb else int(self.works[rule_at])
         self.works[rule_at] += (work - self.works[rule_at]) * LEARN
-        txn = Txn(ident, rule, rule_at, obj, part, group, work, kb > 0,
-                  now + rule.sla + int(rule.sla_stretch * work), now + left)
+        txn = Txn(ident, rule, rule_at, obj, part, group, work, kb > 0, now + left)
         self.txns[ident] = txn
         self.retries = min(RETRY_MOST, self.retries + RETRY_SHARE)
         if rule.never_kept:  # nothing to share: straight through a cache to the origin
             return self.send(txn)
         self.mean_work += (work - self.mean_work) * LEARN
         self.mean_importance += (rule.importance - self.mean_importance) * LEARN
-        home = self.fleet.cache_for(obj, part, now, self.works[rule_at], math.inf, (), None, lambda s: True)
-        key, purged = (obj, part), self.purges.latest(now, obj, group)
-        if home is not None and self.collapsing.is_known(key, home, now, purged):
-            return self.send(txn, known=True)  # the first cache check finds it
-        flight = self.collapsing.flights.get(key)
+        if self.probes and self.fleet.caches and now - self.probed_at >= PROBE_GAP:
+            self.probed_at = now
+            self.host.probe(self.random.choice(self.fleet.caches).name)
+        flight = self.collapsing.flights.get((obj, part))
         if flight is None:
-            self.collapsing.flights[key] = Flight(txn, now)
+            self.collapsing.flights[obj, part] = Flight(txn, now)
             txn.leads = True
             return self.send(txn)
         free_at = min(flight.since + int(self.first_byte_after + 2 * self.first_byte_spread),
-                      txn.sla_at - int(1.2 * work) - 50 * MS, now + OUTER_WAIT, txn.limit_at - work)
+                      now + rule.sla + int((rule.sla_stretch - 1.2) * work) - 50 * MS,
+                      now + OUTER_WAIT, txn.limit_at - work)
         if free_at <= now or len(flight.waiters) >= MOST_WAITERS:
             return self.send(txn, known=True, leader=flight.leader)
         flight.waiters[ident] = txn
@@ -395,7 +407,7 @@
         filling, fetch = 0.0 if known or rule.never_kept else self.fleet.miss_share, True
         crowd = CROWD_LEAST + min(CROWD_MOST, worth)
         follow = leader.hops[-1].server if leader is not None and leader.hops else None
-        server = self.fleet.cache_for(txn.obj, txn.part, now, mean, crowd, txn.bad_caches, follow,
+        server = self.fleet.cache_for(txn.obj, txn.part, now, mean, crowd, txn.avoid, follow,
                                       lambda s: self.may_send(txn, s, now))
         if server is None:  # nowhere to go, or too crowded for what the txn is worth
             return self.give_up(txn)
@@ -404,25 +416,21 @@
             if source is None or source.state != "up":
                 return self.give_up(txn)
         else:
-            home, rank = self.fleet.ranked(self.fleet.caches, txn.obj)[0], KEPT_RANK
-            purged = self.purges.latest(now, txn.obj, txn.group)
+            home, rank = self.fleet.order(txn.obj, txn.part)[0], KEPT_RANK
             if (server is not home and self.fleet.siblings and home.state == "up"
                     and self.fleet.healthy(home, now) and not self.fleet.is_cold(home, now)
-                    and home.name not in txn.bad_sources
-                    and self.collapsing.is_known((txn.obj, txn.part), home, now, purged)):
+                    and home.name not in txn.avoid):
                 source, filling = home, 0.0  # a spread part comes from its home, not over the way in
             elif filling and self.fleet.link_crowding(now, filling) > LINK_SHARE * crowd:
-                # Guards the way in against more misses than it takes, whatever made them: what is kept or
-                # being filled is still answered; what would begin one more fill is given up.
+                # Guards the way in against more misses than it takes: what would begin a fill is given up.
                 source, filling, txn.past_fresh = server, 0.0, True
             else:
-                source = self.fleet.source_for(txn.obj, now, mean, txn.bad_sources)
+                source = self.fleet.source_for(txn.obj, now, mean, txn.avoid)
             origin = self.fleet.origin  # where it fails, parents give what they hold and few txns try it
             if origin is not None and origin.fails > FAIL_LIMIT and self.random.random() > ORIGIN_TRY:
                 source, fetch, txn.past_fresh = server if source is origin else source, False, True
             charged = mean if source is not None and self.fleet.is_cold(source, now) else 0.0
         server.tokens -= mean if self.fleet.is_cold(server, now) else 0.0
-        self.fleet.carried(server, txn.work, now)
         hop = Hop(txn, len(txn.hops), server, source, now, txn.work, len(server.out), filling, charged, fetch)
         if not server.out:
             server.heard = max(server.heard, now)  # nothing was owed until now
@@ -438,8 +446,6 @@
                       self.joins and not rule.never_kept and not any(h.alone for h in txn.hops),
                       rule.fresh > 0, fetch)
         self.at(now + self.patience(hop), self.hop_due, hop)
-        if source in self.fleet.parents:
-            self.at(now + self.fill_patience(hop), self.fill_due, hop)
 
     def may_send(self, txn: Txn, server: Server, now: int) -> bool:
         """Guards against an effect that happens twice."""
@@ -457,31 +463,26 @@
 
     def give_up(self, txn: Txn) -> None:
         """The final answer, at once."""
-        if txn.ended:
-            return
         if self.may_reject(txn):
             self.host.reject(txn.ident, int(self.longest_come_back * self.random.uniform(0.3, 1.0)))
         else:
             self.host.abort(txn.ident)
-        self.finish(txn, None)
+        self.finish(txn)
 
-    def finish(self, txn: Txn, home: Server | None) -> None:
-        """The txn has its final answer, from `home` if it was completed. Its list moves on."""
+    def finish(self, txn: Txn, completed: bool = False) -> None:
+        """The txn has its final answer. Its list moves on."""
         txn.ended = True
         self.leave_list(txn)
-        for hop in txn.hops:
-            if hop.out:
-                self.drop(hop)
-        if not any(h.out for h in txn.hops):
+        if txn.hops and txn.hops[-1].out:
+            self.drop(txn.hops[-1])
+        else:
             self.txns.pop(txn.ident, None)
         key = (txn.obj, txn.part)
-        if home is not None and not txn.rule.never_kept:
-            self.collapsing.answered(key, home, self.host.now(), txn.rule.fresh)
         if not txn.leads:
             return
         txn.leads = False
         flight = self.collapsing.flights.pop(key)
-        if home is None and flight.waiters:  # the next one leads
+        if not completed and flight.waiters:  # the next one leads
             heir = flight.waiters.pop(next(iter(flight.waiters)))
             heir.waits, heir.leads = False, True
             self.collapsing.flights[key] = Flight(heir, self.host.now(), flight.waiters)
@@ -509,13 +510,11 @@
         if hop.source is not None:
             hop.source.feeds.pop((ident, number), None)
         self.learn(hop, result, took, note, waited, now)
+        self.fleet.told(hop.server, load, now)
         if txn.ended:
-            if not any(h.out for h in txn.hops):
-                self.txns.pop(ident, None)
+            self.txns.pop(ident, None)
         elif final:
-            self.finish(txn, hop.server if result == "completed" else None)
-        elif any(h.out for h in txn.hops):
-            return
+            self.finish(txn, result == "completed")
         elif now >= txn.limit_at - 2 * MS or result == "timed_out" or txn.hopeless or self.retries < 1:
             self.give_up(txn)
         else:
@@ -533,22 +532,26 @@
                 peer.missed += bool(peer.feeds)
         elif source is not None and note in (HIT, JOINED, PAST_FRESH):
             source.tokens += hop.charged  # the source was not asked
-        hung = result == "timed_out" and hop.filling > 0  # guards against an origin that answers nothing, too
+        # An origin may answer nothing as well; where all caches are crowded, that is why a hop timed out.
+        hung = result == "timed_out" and hop.filling > 0 and self.fleet.usual_crowd(now) < SPILL
         if self.fleet.origin is not None and (hung or note in (FILLED_BY_ORIGIN, ORIGIN_FAILED)):
             self.fleet.origin.fails += ((note != FILLED_BY_ORIGIN) - self.fleet.origin.fails) * FAIL_STEP
         txn.hopeless = txn.hopeless or (result == "missing" and not hop.fetch)
         if result == "completed":
+            self.fleet.carried(server, hop.work, now)
             self.fleet.judge(server, 0.0, now)
             beside = (hop.beside + len(server.out)) / 2 + 1
-            if note == HIT and txn.sized and hop.work > 50 * MS:
+            was = self.fleet.seen(server, now)
+            if txn.sized and hop.work > 50 * MS and (note == HIT or note in FILLS and was > BUSY
+                                                     and self.fleet.link_crowding(now, 0) < LINK_SHARE):
+                slow = (took - (20 * MS if note == HIT else 2 * DUE_WAIT)) / hop.work
+                self.fleet.saw(server, max(0.0, was + (max(slow, min(was, 1.0)) - was) * PACE_STEP), now)
                 self.fleet.transferred(server, hop.work, took, beside)
             elif note == HIT and not txn.sized:  # what a hit took, less what others took of it
                 alone = max(0, took - 20 * MS) * min(1.0, server.fits / beside)
                 self.works[txn.rule_at] += (alone - self.works[txn.rule_at]) * LEARN
             if hop.filling and note:
                 self.fleet.miss_share += ((note in FILLS) - self.fleet.miss_share) * LEARN
-            if note in FILLS and txn.sized and hop.work > 50 * MS:
-                self.fleet.filled(hop.work, took, self.fleet.link_crowding(now, 1) * self.fleet.link_fits)
             if note in FILLS and source is not None:
                 self.fleet.carried(source, txn.work, now)
                 self.fleet.judge(source, 0.0, now)
@@ -559,11 +562,11 @@
         elif note in (SOURCE_REFUSED, SOURCE_LOST, SOURCE_LACKS, ORIGIN_FAILED):
             txn.past_fresh = True
             if source is not None:
-                txn.bad_sources.add(source.name)
+                txn.avoid.add(source.name)
                 if note in (SOURCE_REFUSED, SOURCE_LOST):
                     self.fleet.judge(source, 1.0, now)
         elif result in ("error", "unreachable", "broken"):
-            txn.bad_caches.add(server.name)
+            txn.avoid.add(server.name)
             if result != "error":
                 server.fails = max(server.fails, FAIL_LIMIT)
             elif source is not None and not txn.rule.never_kept:
@@ -571,46 +574,37 @@
             self.fleet.judge(server, 1.0, now)
         elif result == "missing" and source in self.fleet.caches:
             txn.hopeless = source is server
-            txn.bad_sources.add(source.name)
+            txn.avoid.add(source.name)
         elif result in ("full", "missing", "cancelled") and not hop.alone:
-            txn.bad_caches.add(server.name)
+            txn.avoid.add(server.name)
 
     def patience(self, hop: Hop) -> int:
         """How long a server may stay silent with this hop out, the more the more it has to do."""
-        return int(QUIET_LEAST + QUIET_TIMES * (self.fleet.hit_time(hop) + self.first_byte_after))
+        return int(QUIET_LEAST
+                   + QUIET_TIMES * (self.fleet.hit_time(hop, self.host.now()) + self.first_byte_after))
 
     def hop_due(self, hop: Hop) -> None:
-        """Guards against servers that take txns and answer nothing: this one was silent for too long."""
-        now, server = self.host.now(), hop.server
+        """Guards against caches that answer nothing, and sources that send nothing while others do."""
+        now, server, source = self.host.now(), hop.server, hop.source
         if not hop.out or hop.dropped:
             return
-        quiet_since = max(server.heard, hop.sent)
-        if now - quiet_since < self.patience(hop):
-            return self.at(quiet_since + self.patience(hop), self.hop_due, hop)
-        if not server.ejected_until or now >= server.ejected_until:
-            server.fails = max(server.fails, FAIL_SILENT)
-            self.fleet.eject(server, now, "silent")
-        for other in list(server.out.values()):
-            if now - other.sent > QUIET_LEAST:
-                self.drop(other)
-
-    def fill_patience(self, hop: Hop) -> int:
-        return self.patience(hop) - QUIET_LEAST // 2 + int(2 * self.first_byte_spread)
-
-    def fill_due(self, hop: Hop) -> None:
-        """Guards against sources that take fills and send none, while others do."""
-        now, source = self.host.now(), hop.source
-        if not hop.out or hop.dropped:
+        quiet = now - max(server.heard, hop.sent)
+        if quiet >= self.patience(hop) * (1 if len(server.out) > 1 else ALONE_TIMES):
+            if now >= server.ejected_until:
+                self.fleet.eject(server, now, "silent")
+            for other in list(server.out.values()):
+                if now - other.sent > QUIET_LEAST:
+                    self.drop(other)
             return
-        late = sum(now - h.sent >= self.fill_patience(h) for h in source.feeds.values())
-        if source.missed >= MISSED_FILLS and late >= LATE_FILLS and not source.ejected_until:
-            source.fails = max(source.fails, FAIL_SILENT)
-            self.fleet.eject(source, now, "its fills do not come")
-        if source.ejected_until:
-            hop.alone = True
-            hop.txn.bad_sources.add(source.name)
-            return self.drop(hop)
-        self.at(now + QUIET_LEAST, self.fill_due, hop)
+        if source in self.fleet.parents:
+            late = sum(now - h.sent >= self.patience(h) for h in source.feeds.values())
+            if source.missed >= MISSED_FILLS and late >= LATE_FILLS and not source.ejected_until:
+                self.fleet.eject(source, now, "its fills do not come")
+            if source.ejected_until:
+                hop.alone = True
+                hop.txn.avoid.add(source.name)
+                return self.drop(hop)
+        self.at(now + QUIET_LEAST, self.hop_due, hop)
 
     # Other things that happen.
 
@@ -623,12 +617,13 @@
     def txn_withdrawn(self, ident: int) -> None:
         txn = self.txns.get(ident)
         if txn is not None and not txn.ended:
-            self.finish(txn, None)
+            self.finish(txn)
 
     def purged(self, obj: str | None, group: int, age: int) -> None:
         self.purges.note(self.host.now(), obj, group, age)
 
-    def probe_ended(self, server: str, result: str, took: int, load: dict | None) -> None: ...
+    def probe_ended(self, server: str, result: str, took: int, load: dict | None) -> None:
+        self.fleet.told(self.fleet.servers.get(server), load, self.host.now())
 
     def peer_said(self, sender: int, data: bytes) -> None: ...
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,11 +1,14 @@
 """The rules model beside the module, on generated days."""
 
+import random
+
+import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from fieldspur.decide import MS, SECOND
+from fieldspur.decide import MS, SECOND, Fleet
 from fieldspur.host import RESULTS
-from helpers import Referee, rule
+from helpers import COLD, MULTIPLE, RAMP, SPAN, Referee, rule
 
 RULES = [rule(), rule(fresh=2 * SECOND), rule("keyed", "all", True), rule("keyed", "zone"),
          rule("keyed", "cell"), rule("unrepeatable", never_kept=True), rule("unrepeatable")]
@@ -51,3 +54,29 @@
     day.pass_time(10 * SECOND)
     assert all(t["final"] for t in day.txns.values())
     assert not day.router.txns and not day.router.collapsing.flights
+
+
+@pytest.mark.parametrize("routers, rating", [(2, 12.0), (12, 12.0), (120, 40.0), (200, 25.0)])
+@pytest.mark.parametrize("sized", ["nominal", "rough", "none"])
+def test_many_routers_that_share_nothing_do_not_push_over_a_cold_server(routers, rating, sized):
+    """Found at full size: a router's share was smaller than one txn, or what it asked was taken for its share."""
+    fleets, clock, asked = [], 1000 * SECOND, []
+    for seed in range(routers):
+        fleet = Fleet(zone=1, parent_kind=1, origin_kind=2, sized=sized, cache_share=1 / routers,
+                      parent_share=1 / routers, cache_cold=(COLD, RAMP, MULTIPLE),
+                      parent_cold=(COLD, RAMP, MULTIPLE), fall_span=SPAN, link=0.0, siblings=False)
+        fleet.random = random.Random(seed)
+        fleet.list_begins(True)
+        for name in ("cold", "warm"):
+            fleet.server_listed(name, "up", clock if name == "cold" else 0, 1, rating, 0, 0)
+        fleet.list_ends()
+        fleets.append(fleet)
+    for now in range(clock, clock + RAMP, 20 * MS):
+        for fleet in fleets:  # the warm one is at its limit, and all ask the cold one for all that they may
+            fleet.carried(fleet.servers["warm"], int(20 * MS * rating / routers), now)
+            while fleet.has_room(fleet.servers["cold"], now, 300 * MS):
+                fleet.servers["cold"].tokens -= 300 * MS
+                asked.append(now)
+        able = rating * (COLD + (1 - COLD) * max(0, now - SPAN - clock) / RAMP)
+        assert 0.3 * sum(at > now - SPAN for at in asked) <= MULTIPLE * able + 0.3
+    assert 0.3 * len(asked) > 0.1 * rating * RAMP / SECOND  # and it is used
