Smaller crowds, seen for longer: overloaded enrolment offices answer in time again

Cause: under overload hops ran at a quarter of full pace, just past their SLA time: the crowd seen faded within 2 s, one noisy report of an idle cache wiped it out, and 1.5 to 4 times what fits was let in. Change: seen for 4 s, a report of an idle cache counts as one sample, crowds of 1.1 plus up to 1.8 by importance. Holds against any overload; may hurt where ratings understate the caches.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -27,7 +27,7 @@
 ROUGH_RATING = 0.7  # a roughly known size may be this much too large
 OBJECT_HOMES = 0.25  # least share of its location that a router has for objects to be homed whole
 SPILL, SPILL_NEAR, SPILL_GAIN = 2.0, 1.3, 0.6  # crowd at which home spreads (NEAR: supplies it)
-CROWD_LEAST, CROWD_MOST = 1.5, 2.5  # admission: hops over what fits, for a txn of little worth; most on top
+CROWD_LEAST, CROWD_MOST = 1.1, 1.8  # admission: hops over what fits, for a txn of little worth; most on top
 FITS_FIRST, FITS_STEP = 6.0, 0.1  # transfers that fit in a cache, at first; weight of one answer
 FILL_LATE, DUE_WAIT = 0.8, 100 * MS  # chance that a hop past a hit's time is a fill; a fill's usual wait
 LINK_SHARE, LINK_FIRST = 0.7, 0.5  # most crowd on the way in over a cache's; what fits there, where not told
@@ -38,7 +38,7 @@
 EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND  # ejection, doubling each time
 QUIET_LEAST, QUIET_TIMES, ALONE_TIMES = 300 * MS, 1.5, 2.0  # silence: this, and times a hop's due; one hop's
 RETRY_SHARE, RETRY_MOST = 0.3, 20.0  # retry budget: further hops for each txn, and the most that are saved up
-SEEN_SPAN, TOLD_SPAN, BUSY = 2 * SECOND, 1500 * MS, 0.85  # how long crowding seen counts; told; a busy cache
+SEEN_SPAN, TOLD_SPAN, BUSY = 4 * SECOND, 1500 * MS, 0.85  # how long crowding seen counts; told; a busy cache
 CROWD_STEP, PACE_STEP = 0.15, 0.4  # weight of one cache's crowd in the usual one, of one hit's in a cache's
 FILL_PACE, PROBE_GAP = 2.5, 400 * MS  # a fill's full pace over a client's; time between probes
 FIRST_WORK, FIRST_BYTE = 400 * MS, 80 * MS  # sending time and fill's first byte, before any is learned
@@ -295,7 +295,8 @@
         if "fetching" in load:
             self.link_told, self.link_told_at = load["fetching"] / FILL_PACE, now
         busy = load.get("util", 0.0)  # near 1 it tells no more: hits' pace does
-        self.saw(s, busy if busy < BUSY else max(1.0, self.seen(s, now)), now)
+        was = self.seen(s, now)
+        self.saw(s, was + (busy - was) * PACE_STEP if busy < BUSY else max(1.0, was), now)
 
     def link_crowding(self, now: int, more: float) -> float:
         told = self.link_told if self.link_told_at and now - self.link_told_at < TOLD_SPAN else 0.0
