Busy caches' own count of hops is believed; what is seen late counts for more

Change: from 0.85 util on a cache's crowd is the hops it reports over its rating; the told waits of fills do not count at the cache; crowds of 1.25 plus up to 2.1, what is seen counts 1.15 times; four transfers where sizes are unknown. Holds against any crowd that reports show; may hurt where reports count parked fills and waits are not told.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -27,8 +27,8 @@
 ROUGH_RATING = 0.7  # a roughly known size may be this much too large
 OBJECT_HOMES = 0.25  # least share of its location that a router has for objects to be homed whole
 SPILL, SPILL_NEAR, SPILL_GAIN = 2.0, 1.3, 0.6  # crowd at which home spreads (NEAR: supplies it)
-CROWD_LEAST, CROWD_MOST = 1.1, 1.8  # admission: hops over what fits, for a txn of little worth; most on top
-FITS_FIRST, FITS_STEP = 6.0, 0.1  # transfers that fit in a cache, at first; weight of one answer
+CROWD_LEAST, CROWD_MOST = 1.25, 2.1  # admission: hops over what fits, for a txn of little worth; most on top
+FITS_FIRST, FITS_STEP = 4.0, 0.1  # transfers that fit in a cache, at first; weight of one answer
 FILL_LATE, DUE_WAIT = 0.8, 100 * MS  # chance that a hop past a hit's time is a fill; a fill's usual wait
 LINK_SHARE, LINK_FIRST = 0.7, 0.5  # most crowd on the way in over a cache's; what fits there, where not told
 FAIL_STEP, FAIL_LIMIT, FAIL_TIMES = 0.2, 0.35, 2.0  # weight of one result; share, and over peers, that ejects
@@ -40,7 +40,7 @@
 RETRY_SHARE, RETRY_MOST = 0.3, 20.0  # retry budget: further hops for each txn, and the most that are saved up
 SEEN_SPAN, TOLD_SPAN, BUSY = 4 * SECOND, 1500 * MS, 0.85  # how long crowding seen counts; told; a busy cache
 CROWD_STEP, PACE_STEP = 0.15, 0.4  # weight of one cache's crowd in the usual one, of one hit's in a cache's
-FILL_PACE, PROBE_GAP = 2.5, 400 * MS  # a fill's full pace over a client's; time between probes
+FILL_PACE, PROBE_GAP, SEEN_LAG = 2.5, 400 * MS, 1.15  # a fill's pace over a client's; probes; seen late
 FIRST_WORK, FIRST_BYTE = 400 * MS, 80 * MS  # sending time and fill's first byte, before any is learned
 LEARN = 0.05  # weight of one sample in what is learned
 
@@ -118,8 +118,7 @@
     def note(self, now: int, obj, group: int, age: int) -> None:
         key = (obj, 0) if obj is not None else (None, group)
         self.made[key] = max(now - age, self.made.pop(key, 0))
-        for old in [k for k, at in list(self.made.items())[:8] if now - at > 2 * self.span]:
-            del self.made[old]
+        self.made = {k: at for k, at in self.made.items() if now - at <= 2 * self.span}
 
     def oldest_copy(self, now: int, obj, group: int, fresh: int) -> int:
         """The oldest copy that will do, never 0 where a purge binds (0 leaves it to the rule)."""
@@ -156,7 +155,7 @@
         self.link_told, self.link_told_at = 0.0, 0  # how full it is for all routers together
         self.crowd, self.crowd_at = 0.0, 0  # at the caches here, on average
         self.orders: dict[tuple, list[Server]] = {}  # rendezvous orders of this list
-        self.miss_share = 0.5  # of the txns for objects not known to be at home
+        self.miss_share, self.fill_wait = 0.5, 0.0  # of leading txns; of a fill's time, where waits are told
         self.servers: dict[str, Server] = {}
         self.caches, self.parents, self.origin = [], [], None  # as listed
         self.listed: set | None = None
@@ -169,7 +168,7 @@
         if started != s.started:  # a new process: empty, cold, and nothing held against it
             s.fails, s.ejected_until, s.ejections, s.tokens_for, s.crowd = 0.0, 0, 0, -1, (0.0, 0)
         if self.size_trust and (rating != s.rating or started != s.started or s.state == "gone"):
-            s.fits = rating * self.cold[False][0]
+            s.fits = rating * self.share
         s.state, s.started, s.zone, s.rating, s.kind, s.cell = state, started, zone, rating, kind, cell
         if self.listed is not None:
             self.listed.add(name)
@@ -294,9 +293,10 @@
             return
         if "fetching" in load:
             self.link_told, self.link_told_at = load["fetching"] / FILL_PACE, now
-        busy = load.get("util", 0.0)  # near 1 it tells no more: hits' pace does
-        was = self.seen(s, now)
-        self.saw(s, was + (busy - was) * PACE_STEP if busy < BUSY else max(1.0, was), now)
+        busy, was = load.get("util", 0.0), self.seen(s, now)
+        if busy >= BUSY:  # from here on the hops it holds tell, or hits' pace
+            busy = load["inflight"] / s.rating if self.size_trust and "inflight" in load else max(1.0, was)
+        self.saw(s, was + (busy - was) * PACE_STEP, now)
 
     def link_crowding(self, now: int, more: float) -> float:
         told = self.link_told if self.link_told_at and now - self.link_told_at < TOLD_SPAN else 0.0
@@ -313,8 +313,8 @@
         if not fit:
             return None
         def crowding(s: Server) -> float:
-            idle = self.filling(s, now) * (1 - 1 / max(1.0, link))  # fills held up leave its own link idle
-            return max(self.all_over(len(s.out) + 1 - idle, s.fits), self.seen(s, now))
+            idle = self.filling(s, now) * max(1 - 1 / max(1.0, link), self.fill_wait)  # fills held up
+            return max(self.all_over(len(s.out) + 1 - idle, s.fits), SEEN_LAG * self.seen(s, now))
         if follow in fit and crowding(follow) <= crowd:
             return follow  # where the leader went there is a fill to join
         home = crowding(fit[0])
@@ -533,7 +533,6 @@
                 peer.missed += bool(peer.feeds)
         elif source is not None and note in (HIT, JOINED, PAST_FRESH):
             source.tokens += hop.charged  # the source was not asked
-        # An origin may answer nothing as well; where all caches are crowded, that is why a hop timed out.
         hung = result == "timed_out" and hop.filling > 0 and self.fleet.usual_crowd(now) < SPILL
         if self.fleet.origin is not None and (hung or note in (FILLED_BY_ORIGIN, ORIGIN_FAILED)):
             self.fleet.origin.fails += ((note != FILLED_BY_ORIGIN) - self.fleet.origin.fails) * FAIL_STEP
@@ -557,6 +556,7 @@
                 self.fleet.carried(source, txn.work, now)
                 self.fleet.judge(source, 0.0, now)
                 wait = waited if waited is not None else max(0, took - txn.work)
+                self.fleet.fill_wait += ((waited or 0) / max(took, 1) - self.fleet.fill_wait) * LEARN
                 off = min(wait - self.first_byte_after, 5 * self.first_byte_after)
                 self.first_byte_after += off * LEARN
                 self.first_byte_spread += (abs(off) - self.first_byte_spread) * LEARN
