--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -209,6 +209,6 @@
     """Found on bc-enrolment-later: a second fill out was over a router's share, and misses were given up."""
     day = Referee(caches=3)
     day.router.fleet.share, day.router.fleet.link_fits = 0.05, 0.9
-    for ident in range(3):
+    for ident in range(7):
         day.arrive(ident, obj=f"o{ident}", kb=10.0)
-    assert all(day.hops(i)[0]["source"] != day.hops(i)[0]["server"] for i in range(3))
+    assert all(day.hops(i)[0]["source"] != day.hops(i)[0]["server"] for i in range(7))
