--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -1,8 +1,8 @@
 """All decisions of fieldspur: which cache serves a txn, what fills a miss, who waits, what is given up.
 
 A program builds one Router for each running instance, from a Fleet, Purges and Collapsing, and calls one
-method for each thing that happens; the Router acts by calling its host at once. fieldspur/host.py has the
-host's calls, the words for a hop's result and RemapRule; docs/design.md the why, docs/oncall.md what to do.
+method for each thing that happens, the Fleet's for the server list; the Router acts by calling its host at
+once. fieldspur/host.py has those calls, results and RemapRule; docs/design.md the why, docs/oncall.md the rest.
 """
 
 from __future__ import annotations
@@ -625,7 +625,7 @@
     def probe_ended(self, server: str, result: str, took: int, load: dict | None) -> None:
         self.fleet.told(self.fleet.servers.get(server), load, self.host.now())
 
-    def peer_said(self, sender: int, data: bytes) -> None: ...
+    def peer_said(self, sender: int, data: bytes) -> None: ...  # not used: load reports tell more for less
 
     def at(self, when: int, what, *about) -> None:
         self.last_label += 1
