--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -2,7 +2,7 @@
 
 A program builds one Router for each running instance, from a Fleet, Purges and Collapsing, and calls one
 method for each thing that happens, the Fleet's for the server list; the Router acts by calling its host at
-once. fieldspur/host.py has those calls, results and RemapRule; docs/design.md the why; see docs/oncall.md too.
+once. fieldspur/host.py has those calls, results and RemapRule; docs/design.md the why; see docs/oncall.md.
 """
 
 from __future__ import annotations
