SIGHUP reads the configuration again and moves to its notice board

At fault: __main__ masked SIGTERM and SIGINT only, and board.run slept and waited on its old connection. Now SIGHUP is masked with them; the file is read and checked again, a faulty one is logged by its key and changes nothing; the board's thread leaves its connection at once and asks the new address from the last number held. Checked besides, with a probe: a line of deep JSON ends the program with SIGSEGV, for the parser's recursion passes 128 KiB of stack before its limit: the board's thread has 512 KiB, and RecursionError counts as a broken line. Silence is now 2 s without a whole line, not 3 s without a byte; a figure too large for a float names its key.

--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -18,13 +18,13 @@
 from fieldspur.net.route import Route
 from fieldspur.net.send import Send
 from fieldspur.net.takein import TakeIn
-from fieldspur.site import MS, BadSite, Node, read_node
+from fieldspur.site import MS, BadSite, Node, differences, read_node
 
 log = logging.getLogger("fieldspur.main")
-STACK = 128 << 10
+STACK, DEEP_STACK = 128 << 10, 512 << 10  # DEEP: of what parses JSON, whose nesting the sender chooses
 SWITCH = 0.001  # seconds that a busy thread keeps the interpreter from those that wait
 GARBAGE = 10_000, 50, 100  # looks for cycles are rare: a txn leaves none behind, and a look holds up all threads
-ENDINGS = (signal.SIGTERM, signal.SIGINT)
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)  # the last one: the file is read again
 COUNTS_EVERY = 5.0  # seconds
 STILL_COMING = 0.7  # seconds after SIGTERM for which clients still come, by the protocol
 
@@ -40,7 +40,7 @@
     """The stages, wired up, and their threads."""
 
     def __init__(self, node: Node):
-        site = node.site
+        site, self.node = node.site, node
         self.relay = Relay(most_held=node.memory // 4)
         self.book = Book()
         # Descriptors: half for clients, who hold a third at most, a quarter for servers, the rest in reserve.
@@ -56,6 +56,7 @@
     def start(self) -> None:
         for name, run in (("route", self.route.run), ("relay", self.relay.run), ("board", self.board.run),
                           ("takein", self.takein.run)):
+            threading.stack_size(DEEP_STACK if name == "board" else STACK)
             threading.Thread(target=run, name=name, daemon=True).start()
         self.takein.ready = True
 
@@ -75,6 +76,17 @@
             "lag_ms": lag // MS, "pause_ms": int(pause * 1000), "held": self.relay.held, "too_much": self.relay.too_much, "cpu": time.process_time(), "system": os.times().system,
             "broken": sum(holds.broken.values())}})
 
+    def reload(self) -> None:
+        """Read the file again. One that can't be used changes nothing, nor does what a running router keeps."""
+        try:
+            node = read_node(os.environ)
+        except BadSite as bad:
+            return log.error("kept", extra={"kv": {"why": str(bad)}})
+        self.board.move(node.board, node.known)
+        kept = differences(self.node, node)
+        log.log(logging.WARNING if kept else logging.INFO, "reloaded", extra={"kv": {
+            "board": "%s:%d" % node.board, "unchanged": ",".join(kept) or "-"}})
+
     def end(self) -> None:
         """Serve what still comes, answer all that was taken, then stop."""
         began = time.monotonic()
@@ -90,7 +102,7 @@
     threading.stack_size(STACK)
     sys.setswitchinterval(SWITCH)
     threading.excepthook = fail
-    signal.pthread_sigmask(signal.SIG_BLOCK, ENDINGS)  # in all threads; the main one waits for them
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # in all threads; the main one waits for them
     try:
         node = read_node(os.environ)
         logs.begin(logging.DEBUG if node.debug else logging.INFO)
@@ -106,8 +118,11 @@
     gc.callbacks.append(service.pauses)
     service.start()
     log.info("ready", extra={"kv": {"name": node.name, "listen": "%s:%d" % node.listen}})
-    while signal.sigtimedwait(ENDINGS, COUNTS_EVERY) is None:
-        service.counts("counts")
+    while (got := signal.sigtimedwait(SIGNALS, COUNTS_EVERY)) is None or got.si_signo == signal.SIGHUP:
+        if got is None:
+            service.counts("counts")
+        else:
+            service.reload()
     log.info("ending", extra={"kv": {"open": len(service.book.open)}})
     service.end()
     service.counts("ended")
--- a/fieldspur/net/board.py
+++ b/fieldspur/net/board.py
@@ -6,6 +6,7 @@
 import logging
 import random
 import socket
+import threading
 import time
 from dataclasses import dataclass
 
@@ -13,7 +14,7 @@
 
 log = logging.getLogger("fieldspur.board")
 STATES = {"up": "up", "draining": "draining", "removed": "gone"}
-SILENCE = 3.0  # seconds; the board writes each second
+SILENCE = 2.0  # seconds without a whole line; the board writes one each second
 WAIT_FIRST, WAIT_MOST = 0.05, 1.0  # seconds between connections
 MOST_LINE = 4 << 20
 
@@ -61,6 +62,9 @@
 
     def __init__(self, where: tuple[str, int], route, seed: int):
         self.where, self.route, self.random = where, route, random.Random(seed)
+        self.known: list = []  # events that a new configuration brought
+        self.moved = threading.Event()  # set while a move waits to be seen
+        self.sock = socket.socket()  # the present connection
         self.last = 0
         self.rows: dict[str, dict] = {}  # the list as told, for a change may hold only what has changed
 
@@ -107,31 +111,59 @@
         if number > self.last + (not bare):
             raise Gap(f"{self.last} is followed by {number}")
         if not bare and number == self.last + 1:
-            self.last = number  # whatever it holds, it is not asked for again
-            self.tell(self.event(Part(value, "event")))
+            self.take(value)
+
+    def take(self, value: dict) -> None:
+        self.last = value["rev"]  # whatever it holds, it is not asked for again
+        self.tell(self.event(Part(value, "event")))
+
+    def move(self, where: tuple[str, int], known: list) -> None:
+        """A new configuration: watch there from now on. Called by another thread, at any moment."""
+        self.where, self.known = where, known
+        self.moved.set()
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass  # not connected: `watch` looks at `moved` once it is
 
     def run(self) -> None:
         wait = WAIT_FIRST
         while True:
             before = self.last
+            if self.moved.is_set():
+                self.moved.clear()
+                wait = WAIT_FIRST
             try:
+                for value in self.known:
+                    if isinstance(value, dict) and value.get("rev") == self.last + 1:
+                        self.take(value)
                 self.watch()
-                why = "closed"
-            except (OSError, ValueError, BadSite, Gap) as wrong:
+                why = "moved" if self.moved.is_set() else "closed"
+            except (OSError, ValueError, RecursionError, BadSite, Gap) as wrong:
                 why = str(wrong) or type(wrong).__name__
             wait = WAIT_FIRST if self.last > before else min(WAIT_MOST, 2 * wait)
             log.warning("lost", extra={"kv": {"why": why, "last": self.last}})
-            time.sleep(wait * self.random.uniform(0.5, 1.0))
+            self.moved.wait(wait * self.random.uniform(0.5, 1.0))
 
     def watch(self) -> None:
-        with socket.create_connection(self.where, timeout=SILENCE / 3) as sock:
-            sock.settimeout(SILENCE)
+        with socket.socket() as sock:
+            self.sock = sock
+            sock.settimeout(SILENCE / 2)
+            sock.connect(self.where)
+            if self.moved.is_set():
+                return
             sock.sendall(b"watch %d\n" % self.last)
-            held = b""
-            while data := sock.recv(65_536):
+            held, heard = b"", time.monotonic()
+            while (left := heard + SILENCE - time.monotonic()) > 0:
+                sock.settimeout(left)
+                data = sock.recv(65_536)
+                if not data:
+                    return
                 *lines, held = (held + data).split(b"\n")
                 if len(held) > MOST_LINE:
                     raise ValueError("a line too long")
                 for line in lines:
                     if line.strip():
                         self.line(line)
+                        heard = time.monotonic()
+            raise TimeoutError("no whole line")
--- a/fieldspur/site.py
+++ b/fieldspur/site.py
@@ -51,7 +51,10 @@
         return [Part(row, f"{self.at(key)}[{n}]") for n, row in enumerate(self.raw(key, list, "a list"))]
 
     def number(self, key: str, default=NEEDED, least: float = 0.0) -> float:
-        value = float(self.raw(key, (int, float), "a number", default))
+        try:
+            value = float(self.raw(key, (int, float), "a number", default))
+        except OverflowError:
+            value = math.inf
         if not math.isfinite(value) or value < least:
             raise BadSite(f"{self.at(key)}: below {least:g}")
         return value
@@ -161,11 +164,17 @@
 
 def address(text: str, path: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not (port.isascii() and port.isdigit()) or len(port) > 5 or not 0 < int(port) < 65536:
         raise BadSite(f"{path}: not an address with a port")
     return host, int(port)
 
 
+def differences(old: Node, new: Node) -> list[str]:
+    """What another file says that a running router does not take over; `board` and `known` it does."""
+    return [key for key in ("name", "listen", "seed", "sockets", "memory", "site")
+            if getattr(old, key) != getattr(new, key)]
+
+
 def read_node(environ) -> Node:
     """The node's configuration from LB_CONFIG's file; LB_NAME and LB_LISTEN go before what it says."""
     where = environ.get("LB_CONFIG")
@@ -176,7 +185,7 @@
             conf = Part(json.load(file))
     except OSError as wrong:
         raise BadSite(f"LB_CONFIG: {wrong.strerror}") from None
-    except ValueError:
+    except (ValueError, RecursionError):
         raise BadSite("LB_CONFIG: the file is not JSON") from None
     name = environ.get("LB_NAME") or conf.text("name")
     listen = environ.get("LB_LISTEN")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import signal
 import socket
 import struct
 import subprocess
@@ -294,7 +295,7 @@
     """The notice board: `tell` adds an event; who watches gets all later than it has, then what comes."""
 
     def __init__(self):
-        self.events, self.watched, self.mute = [], [], False
+        self.events, self.watched, self.sent = [], [], []
         super().__init__()
 
     def serve(self, conn):
@@ -304,6 +305,7 @@
             for event in [e for e in self.events if e["rev"] > last]:
                 conn.sendall(json.dumps(event).encode() + b"\n")
                 last = event["rev"]
+                self.sent.append(last)
             time.sleep(0.005)
 
     def tell(self, rev, **event):
@@ -365,11 +367,11 @@
         self.conf = {"name": "n0", "listen": self.address, "seed": "1f", "board": self.board.address,
                      "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
                      "known": {"rev": 1, "notices": [pool]}, "settings": settings()} | conf
-        path = folder / "config.json"
-        path.write_text(json.dumps(self.conf))
+        self.path = folder / "config.json"
+        self.path.write_text(json.dumps(self.conf))
         self.log = open(folder / "log", "wb+")
         self.process = subprocess.Popen([sys.executable, "-B", "-m", "fieldspur"], stderr=self.log,
-                                        env=os.environ | {"LB_CONFIG": str(path)})
+                                        env=os.environ | {"LB_CONFIG": str(self.path)})
 
     def client(self):
         """A client, once the router says that it is ready."""
@@ -383,6 +385,10 @@
             return client if client.get()[:3] == (81, 1 << 30, 79) else None
         return until(ready, "a ready router")
 
+    def reload(self, text=None, **conf):
+        self.path.write_text(text or json.dumps(self.conf | conf))
+        self.process.send_signal(signal.SIGHUP)
+
     def lines(self):
         self.log.flush()
         return (self.folder / "log").read_text()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,6 +1,7 @@
 """The whole program as a process, between stand-ins on loopback. Tests wait for conditions, not for times."""
 
 
+import signal
 import socket
 import subprocess
 import sys
@@ -22,7 +23,7 @@
 from fieldspur.net.send import Hop, Send
 from fieldspur.net.takein import encode
 from fieldspur.site import MS, deployment
-from helpers import Cache, Client, Listener, Service, endpoint, settings, until
+from helpers import Cache, Client, Listener, Notices, Service, endpoint, settings, until
 
 ACK = ("ACK", "entity=e,issued=1,tell=TCP_HIT", b"bytes")
 
@@ -239,6 +240,60 @@
     until(applied, "the purge that was missing")
 
 
+def test_a_new_configuration_moves_to_the_new_board_and_a_faulty_one_is_kept_out(run):
+    cache = Cache()
+    service = run(cache)
+    client, first, second = service.client(), service.board, Notices()
+    until(lambda: first.watched == [1])
+    service.reload("{")
+    until(lambda: "event=kept" in service.lines(), "the faulty file")
+    first.tell(2, flush={"collection": 9, "ms": 1})
+    first.sock.close()  # the old board stays open and says nothing more
+    until(lambda: len(first.sent) == 1, "event 2")
+    second.tell(3, flush={"collection": 7, "ms": int(time.time() * 1000) - 50})
+    for _ in range(3):  # in a row
+        service.reload(board=second.address, seed="20")
+    until(lambda: second.watched and second.watched[0] == 2, "a watch of the new board from the last number on")
+
+    def applied():
+        client.stream = getattr(client, "stream", 0) + 1
+        client.ask(client.stream, item="%016x" % 1)
+        client.get()
+        return "within" in cache.wants[-1]
+    until(applied, "the purge that the new board told")
+    assert "event=reloaded" in service.lines() and "unchanged=seed" in service.lines()
+    service.process.terminate()
+    service.process.send_signal(signal.SIGHUP)
+    assert service.process.wait(20) == 0
+
+
+@pytest.mark.parametrize("line", [b"[" * 100_000, b'{"rev":2,"pool":' + b'{"a":' * 100_000, b'{"rev":1' + b"0" * 5000,
+                                  b'{"rev":2,"pool":{"endpoints":[{"name":"x","weight":1' + b"0" * 400 + b"}]}}",
+                                  b'{"rev":2,"flush":{"asset":7}}', b"\xff\x00", b'{"rev":2,"pool"'], ids=range(7))
+def test_nothing_that_the_board_writes_ends_the_program(run, line):
+    service = run(Cache())
+    client = service.client()
+    until(lambda: service.board.conns)
+    service.board.conns[0].sendall(line + b"\n")
+    until(lambda: len(service.board.watched) > 1, "a further watch")
+    client.ask(1)
+    assert client.get()[:3] == (66, 1, 79)
+
+
+def test_a_board_that_goes_silent_in_the_middle_of_a_line_is_watched_again(run):
+    service = run(Cache())
+    until(lambda: service.board.conns)
+    conn = service.board.conns[0]
+
+    def trickle():  # bytes alone are no sign of life
+        try:
+            conn.sendall(b" ")
+        except OSError:
+            pass  # given up at the other end
+        return len(service.board.watched) > 1
+    until(trickle, "a further watch")
+
+
 def test_a_restarted_cache_at_a_known_address_is_another_server(run):
     cache = Cache()
     service = run(cache)
