Txns that nobody can serve and broken connections no longer eject healthy servers

A trace of each hop (LB_LOG=debug, line extended by rule, object, source) showed 1791 errors: some 200 txns of ids that no server knows, nearly each with eight hops, all errors, on all servers in turn. One spoilt answer broke 7 hops on average, 260 in all; 81 of these had no further hop, for the retries were used up. Ruled out: the core (lag 13 ms), descriptors, the admission at the door (full=0), time-outs (none). At fault: decide.learn judged server and source at each error, and raised a server to ejection at each broken hop; decide.hop_ended charged all of that to the retry budget. Now an error speaks against its server and source once another server completes the txn; two errors end a txn; hops that broke together count once; what was lost with a connection is not charged. A size that can't be sent within the rule's time limit is rejected at once and not learned (1e308 ended the program in a probe's reading). Gone servers are forgotten once nothing of them is out. When it might hurt: a cache that fails alone is told one hop later.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -1,8 +1,7 @@
 """All decisions of fieldspur: which cache serves a txn, what fills a miss, who waits, what is given up.
 
-A program builds one Router for each running instance, from a Fleet, Purges and Collapsing, and calls one
-method for each thing that happens, the Fleet's for the server list; the Router acts by calling its host at
-once. fieldspur/host.py has those calls, results and RemapRule; docs/design.md the why; see docs/oncall.md.
+A program builds a Router for each instance and calls one method for each thing that happens, the Fleet's for
+the server list; the Router acts by calling its host (fieldspur/host.py) at once. docs/design.md has the why.
 """
 
 from __future__ import annotations
@@ -17,13 +16,12 @@
                    SOURCE_LACKS, SOURCE_LOST, SOURCE_REFUSED, Host, RemapRule)
 
 MS, SECOND = 1_000_000, 1_000_000_000
-FILLS = (FILLED, FILLED_BY_ORIGIN)
+FILLS, LOST = (FILLED, FILLED_BY_ORIGIN), ("broken", "unsent")  # LOST: with a connection, whatever the load
 
 OUTER_WAIT, MOST_WAITERS = 3 * SECOND, 64  # the source's lock time-out bounds any wait; list of one part
-KEPT_RANK, ORDERS_MOST = 2, 4096  # above the lowest rank; rendezvous orders kept
+KEPT_RANK, ORDERS_MOST, OBJECT_HOMES = 2, 4096, 0.25  # above the lowest; kept; share that homes objects whole
 COLD_USE = 0.45  # share of a cold server's budget that all routers together are to use in a span
 ROUGH_RATING, LEAST_RATE = 0.7, 0.03  # a rough size may be so much too large; transfers where none is known
-OBJECT_HOMES = 0.25  # least share of its location that a router has for objects to be homed whole
 SPILL, SPILL_NEAR, SPILL_GAIN = 2.0, 1.3, 0.6  # crowd at which home spreads (NEAR: supplies it)
 CROWD_LEAST, CROWD_MOST = 1.25, 2.1  # admission: hops over what fits, for a txn of little worth; most on top
 FITS_FIRST, FITS_STEP = 4.0, 0.1  # transfers that fit in a cache, at first; weight of one answer
@@ -34,12 +32,11 @@
 ORIGIN_TRY, SLOW_TIMES = 0.2, 3.0  # least share of fills that may ask a failing origin; times its usual wait
 EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND  # ejection, doubling each time
 QUIET_LEAST, QUIET_TIMES, ALONE = 300 * MS, 1.5, 2.0  # silence: this, and times a hop's due; one hop's
-RETRY_SHARE, RETRY_MOST = 0.3, 20.0  # retry budget: further hops for each txn, and the most that are saved up
+RETRY_SHARE, RETRY_MOST, ERRORS_MOST = 0.3, 20.0, 2  # further hops a txn; saved up; errors that end a txn
 SEEN_SPAN, TOLD_SPAN, BUSY = 4 * SECOND, 1500 * MS, 0.85  # how long crowding seen counts; told; a busy cache
 CROWD_STEP, PACE_STEP = 0.15, 0.4  # weight of one cache's crowd in the usual one, of one hit's in a cache's
 FILL_PACE, PROBE_GAP, SEEN_LAG = 2.5, 400 * MS, 1.15  # a fill's pace over a client's; probes; seen late
-FIRST_WORK, FIRST_BYTE = 400 * MS, 80 * MS  # sending time and fill's first byte, before any is learned
-LEARN = 0.05  # weight of one sample in what is learned
+FIRST_WORK, FIRST_BYTE, LEARN = 400 * MS, 80 * MS, 0.05  # before any is learned; weight of one sample
 
 
 @dataclass(slots=True, eq=False)
@@ -58,6 +55,7 @@
     fills: tuple = (0.0, 0)  # how many of `out` are being filled; when it last looked through them
     fits: float = FITS_FIRST  # how many of this router's transfers run there at full pace
     rate: tuple = (0.0, 0)  # sending time a second that it lately did for this router, as of when
+    broke: int = 0  # when a connection to it last broke under hops
     heard: int = 0  # when it last answered anything, or a fill from it came
     missed: int = 0  # fills that came from its peers since, halved at each of its own
     fails: float = 0.0
@@ -83,6 +81,7 @@
     out: bool = True
     ran: bool = True  # may have run
     dropped: bool = False  # cancelled by this router
+    erred: bool = False  # speaks against its server and source if another serves the txn
     alone: bool = False  # its fill may hang: the next hop does not join it
     counted: float = 0.0  # `filling` as it stands in the server's `fills`
 
@@ -155,8 +154,7 @@
         self.orders: dict[tuple, list[Server]] = {}  # rendezvous orders of this list
         self.miss_share, self.fill_wait, self.origin_wait = 0.5, 0.0, 0.0  # of leaders, of fills; usual
         self.servers: dict[str, Server] = {}
-        self.caches, self.parents, self.origin = [], [], None  # as listed
-        self.listed: set | None = None
+        self.caches, self.parents, self.origin, self.listed = [], [], None, None  # as listed
 
     def list_begins(self, complete: bool) -> None:
         self.listed = set() if complete else None
@@ -177,6 +175,7 @@
                 s.state = "gone"  # absence from a complete list is a removal
         if not self.link_fits:  # not told: a first guess, learned from there
             self.link_fits = LINK_FIRST * sum(s.fits for s in self.servers.values() if s.zone == self.zone)
+        self.servers = {n: s for n, s in self.servers.items() if s.state != "gone" or s.out or s.feeds}
         here = sorted((s for s in self.servers.values() if s.state != "gone"), key=lambda s: s.name)
         self.parents = [s for s in here if s.kind == self.parent_kind]
         self.origin = next((s for s in here if s.kind == self.origin_kind), None)
@@ -197,8 +196,7 @@
         return self.orders[at]
 
     def order(self, obj, part) -> list[Server]:
-        """The home cache and those after it. Where many routers share a location, none of them sees in time
-        that the parts of an object crowd its home, so there each part has a home of its own."""
+        """The home cache and those after it; by part where a router sees too little of an object's crowd."""
         return self.ranked(self.caches, obj if self.share >= OBJECT_HOMES else f"{obj}#{part}")
 
     def carried(self, s: Server, work: float, now: int) -> None:
@@ -264,8 +262,7 @@
         return wait > SLOW_TIMES * usual
 
     def filling(self, s: Server, now: int) -> float:
-        """How many hops out there are being filled; one out for longer than a hit takes likely is. They are
-        looked through the less often the more they are, or what a txn costs would grow with the hops out."""
+        """How many hops out are being filled; looked through the less often the more are out."""
         if now - s.fills[1] >= LOOK_GAP * len(s.out):
             for h in s.out.values():
                 late = h.filling and now - h.sent > 1.2 * self.hit_time(h, now)
@@ -353,8 +350,7 @@
         self.probes, self.cancels, self.longest_come_back = probes, cancels, longest_come_back
         self.works = [float(FIRST_WORK)] * len(rules)  # mean sending times, learned
         self.first_byte_after, self.first_byte_spread = float(FIRST_BYTE), FIRST_BYTE / 2
-        self.txns: dict[int, Txn] = {}
-        self.alarms: dict[int, tuple] = {}
+        self.txns, self.alarms = {}, {}  # by number; by label
         self.last_label, self.retries, self.probed_at = 0, RETRY_MOST, 0
         self.mean_work, self.mean_importance = float(FIRST_WORK), 1.0
 
@@ -363,8 +359,10 @@
     def txn_arrived(self, ident: int, rule_at: int, obj: str, part: int, left: int, kb: float, group: int):
         now, rule = self.host.now(), self.rules[rule_at]
         work = int(kb / self.kb_per_s * SECOND) if kb else int(self.works[rule_at])
-        self.works[rule_at] += (work - self.works[rule_at]) * LEARN
         txn = self.txns[ident] = Txn(ident, rule, rule_at, obj, part, group, work, kb > 0, now + left)
+        if work > rule.limit:  # can't be sent in its time; nor is a figure out of range to be learned
+            return self.give_up(txn)
+        self.works[rule_at] += (work - self.works[rule_at]) * LEARN
         self.retries = min(RETRY_MOST, self.retries + RETRY_SHARE)
         if rule.never_kept:  # nothing to share: straight through a cache to the origin
             return self.send(txn)
@@ -466,10 +464,10 @@
 
     def give_up(self, txn: Txn) -> None:
         """The final answer, at once."""
-        if not self.may_reject(txn):
-            self.host.abort(txn.ident)
-        else:
+        if self.may_reject(txn):
             self.host.reject(txn.ident, int(self.longest_come_back * self.random.uniform(0.3, 1.0)))
+        else:
+            self.host.abort(txn.ident)
         self.finish(txn)
 
     def finish(self, txn: Txn, completed: bool = False) -> None:
@@ -518,10 +516,11 @@
             self.txns.pop(ident, None)
         elif final:
             self.finish(txn, result == "completed")
-        elif now >= txn.limit_at - 2 * MS or result == "timed_out" or txn.hopeless or self.retries < 1:
+        elif (now >= txn.limit_at - 2 * MS or result == "timed_out" or txn.hopeless
+              or (self.retries < 1 and result not in LOST) or sum(h.erred for h in txn.hops) >= ERRORS_MOST):
             self.give_up(txn)
         else:
-            self.retries -= 1  # guards against hops that multiply an overload
+            self.retries -= result not in LOST  # guards against hops that multiply an overload
             self.send(txn)
 
     def learn(self, txn: Txn, hop: Hop, result: str, took: int, note: int, waited, now: int) -> None:
@@ -541,6 +540,10 @@
             self.fleet.origin.fails += (bad - self.fleet.origin.fails) * FAIL_STEP
         txn.hopeless |= result == "missing" and (source is server or not hop.fetch)
         if result == "completed":
+            for h in (h for h in txn.hops if h.erred):
+                self.fleet.judge(h.server, 1.0, now)
+                if h.source is not None and not txn.rule.never_kept:  # only their peers tell the two apart
+                    self.fleet.judge(h.source, 1.0, now)
             self.fleet.carried(server, hop.work, now)
             self.fleet.judge(server, 0.0, now)
             beside = (hop.beside + len(server.out)) / 2 + 1
@@ -568,17 +571,17 @@
             txn.avoid |= {source.name} if source is not None else set()
             if source is not None and note in (SOURCE_REFUSED, SOURCE_LOST):
                 self.fleet.judge(source, 1.0, now)
-        elif result in ("error", "unreachable", "broken"):
+        elif result == "error":  # a txn that nobody can serve speaks against nobody
             txn.avoid.add(server.name)
-            if result != "error":
-                server.fails = max(server.fails, FAIL_LIMIT)
-            elif source is not None and not txn.rule.never_kept:
-                self.fleet.judge(source, 1.0, now)  # nothing tells the two apart but their peers
-            self.fleet.judge(server, 1.0, now)
-        elif result == "missing" and source in self.fleet.caches:
-            txn.avoid.add(source.name)
-        elif result in ("full", "missing", "cancelled") and not hop.alone:
+            hop.erred = True
+        elif result in ("unreachable", "broken"):
             txn.avoid.add(server.name)
+            server.fails = max(server.fails, FAIL_LIMIT * (result == "unreachable"))
+            if result == "unreachable" or hop.sent > server.broke:  # all hops on a connection break at once
+                server.broke = now
+                self.fleet.judge(server, 1.0, now)
+        elif result in ("full", "missing", "cancelled") and not hop.alone:
+            txn.avoid.add((source if result == "missing" and source in self.fleet.caches else server).name)
 
     def patience(self, hop: Hop) -> int:
         """How long a server may stay silent with this hop out, the more the more it has to do."""
--- a/fieldspur/net/route.py
+++ b/fieldspur/net/route.py
@@ -86,9 +86,11 @@
         if hop.want is None:
             return self.router.probe_ended(hop.server, result, took, load)
         final = result == "completed" or hop.ident not in self.book.open
-        log.debug("hop", extra={"kv": {"txn": hop.ident, "hop": hop.number, "server": hop.server, "result": result,
-                                       "note": reply.note if reply else 0, "took": took // MS,
-                                       "wrote": (hop.written - hop.asked) // MS if hop.written else -1}})
+        log.debug("hop", extra={"kv": {
+            "txn": hop.ident, "hop": hop.number, "rule": hop.want.rule, "obj": hop.want.obj, "part": hop.want.part,
+            "server": hop.server, "source": hop.source or "-", "fetch": hop.want.fetch, "result": result,
+            "note": reply.note if reply else 0, "took": took // MS,
+            "wrote": (hop.written - hop.asked) // MS if hop.written else -1}})
         self.router.hop_ended(hop.ident, hop.number, result, took, final, reply.note if reply else 0,
                               reply.waited if reply else None, load)
 
@@ -109,8 +111,8 @@
             fleet.server_listed(s.name, s.state, s.started, site.zones.index(s.zone), s.rating,
                                 site.kinds.index(s.kind), s.cell)
         fleet.list_ends()
-        for name, s in fleet.servers.items():
-            if change.complete and s.state == "gone":
+        if change.complete:
+            for name in set(self.sender.servers) - {s.name for s in change.servers}:
                 self.sender.listed(name, ("", 0), "gone")
 
     def purged(self, purge: Purge) -> None:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -95,6 +95,54 @@
     assert all(len(day.hops(i)) == 1 for i in range(8))
 
 
+def test_txns_that_nobody_can_serve_speak_against_nobody_and_end_after_two_errors():
+    """Found on sockets: ids that no server knows, eight errors each, had all caches and parents ejected."""
+    day = Referee()
+    for ident in range(30):
+        day.arrive(ident, obj=f"bad{ident}")
+        while day.txns[ident]["final"] is None:
+            day.end(ident, "error")
+    assert all(len(day.hops(i)) <= 2 for i in range(30)) and not [line for line in day.lines if "ejected" in line]
+    for ident in range(30, 60):  # one cache alone fails: it is told by what others complete
+        day.arrive(ident, obj=f"o{ident}")
+        while day.txns[ident]["final"] is None:
+            bad = day.hops(ident)[-1]["server"] == "c0"
+            day.end(ident, "error" if bad else "completed", 0 if bad else HIT)
+    assert [line for line in day.lines if "ejected c0" in line]
+
+
+def test_a_connection_that_breaks_is_one_failure_and_all_that_it_carried_goes_on():
+    """Found on sockets: one spoilt answer took its connection, ejected a healthy server and used up all retries."""
+    day = Referee(caches=2, rating=100.0)
+    for ident in range(60):
+        day.arrive(ident, obj=f"o{ident}", kb=10.0)
+    name = day.hops(0)[0]["server"]
+    carried = [i for i in range(60) if day.hops(i)[0]["server"] == name]
+    for ident in carried:
+        day.end(ident, "broken")
+    assert len(carried) > 22 and all(len(day.hops(i)) == 2 for i in carried)
+    assert not [line for line in day.lines if "ejected" in line]
+
+
+def test_a_size_out_of_range_is_rejected_at_once_and_not_learned():
+    day = Referee(rules=[rule()])
+    works = list(day.router.works)
+    day.arrive(0, kb=1e9)
+    assert day.txns[0]["final"] == "rejected" and not day.hops(0) and day.router.works == works
+
+
+def test_a_server_that_is_gone_is_forgotten_once_nothing_of_it_is_out():
+    day = Referee(caches=1)
+    day.arrive(0)
+    for n in range(1, 1000):
+        day.list_servers({f"c{n - 1}": (1, 0, 0)}, state="gone")
+        day.list_servers({f"c{n}": (1, 0, 0)})
+    assert set(day.router.fleet.servers) == {"c0", "c999", "p0", "p1", "origin"}
+    day.end(0, "completed", HIT)
+    day.list_servers({"c1000": (1, 0, 0)})
+    assert "c0" not in day.router.fleet.servers
+
+
 def test_a_failing_parent_gives_way_to_the_second_and_the_last_server_is_not_ejected():
     day = Referee(caches=1)
     for ident in range(12):
