--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -253,7 +253,6 @@
 def test_a_board_that_breaks_off_is_watched_from_the_last_event_on(run):
     cache = Cache()
     service = run(cache)
-    client = service.client()
     until(lambda: service.board.watched == [1])
     service.board.tell(2, flush={"collection": 9, "ms": 1})
     time.sleep(0.1)
@@ -263,6 +262,7 @@
     until(lambda: len(service.board.watched) > 3 and service.board.watched[-1] == 2, "a watch after a gap")
     service.board.events.insert(-1, {"rev": 3, "flush": {"collection": 7, "ms": int(time.time() * 1000) - 50}})
     until(lambda: "followed by 4" in service.lines())
+    client = service.client()
 
     def applied():
         client.stream = getattr(client, "stream", 0) + 1
@@ -275,7 +275,7 @@
 def test_a_new_configuration_moves_to_the_new_board_and_a_faulty_one_is_kept_out(run):
     cache = Cache()
     service = run(cache)
-    client, first, second = service.client(), service.board, Notices()
+    first, second = service.board, Notices()
     until(lambda: first.watched == [1])
     service.reload("{")
     until(lambda: "event=kept" in service.lines(), "the faulty file")
@@ -286,6 +286,7 @@
     for _ in range(3):  # in a row
         service.reload(board=second.address, seed="20")
     until(lambda: second.watched and second.watched[0] == 2, "a watch of the new board from the last number on")
+    client = service.client()
 
     def applied():
         client.stream = getattr(client, "stream", 0) + 1
@@ -304,10 +305,10 @@
                                   b'{"rev":2,"flush":{"asset":7}}', b"\xff\x00", b'{"rev":2,"pool"'], ids=range(7))
 def test_nothing_that_the_board_writes_ends_the_program(run, line):
     service = run(Cache())
-    client = service.client()
     until(lambda: service.board.conns)
     service.board.conns[0].sendall(line + b"\n")
     until(lambda: len(service.board.watched) > 1, "a further watch")
+    client = service.client()
     client.ask(1)
     assert client.get()[:3] == (66, 1, 79)
 
