A stop and continue no longer ends the program: the wait for signals has no time limit

Its log had 'ending' though nothing had sent SIGTERM. Cause, shown by a probe: where a process is stopped and continued past the limit of signal.sigtimedwait, that returns a siginfo nobody filled in (si_signo -), and __main__'s loop took it for SIGTERM. signal.sigwait, probed beside it, stays; the counts have a thread of their own. Test fails without the change.

--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -55,7 +55,7 @@
 
     def start(self) -> None:
         for name, run in (("route", self.route.run), ("relay", self.relay.run), ("board", self.board.run),
-                          ("takein", self.takein.run), ("watch", self.takein.watch)):
+                          ("takein", self.takein.run), ("watch", self.takein.watch), ("counts", self.tell)):
             threading.stack_size(DEEP_STACK if name == "board" else STACK)
             threading.Thread(target=run, name=name, daemon=True).start()
         self.takein.ready = True
@@ -67,6 +67,11 @@
         else:
             self.pause = max(self.pause, time.monotonic() - self.pause_began)
 
+    def tell(self) -> None:
+        while True:
+            time.sleep(COUNTS_EVERY)
+            self.counts("counts")
+
     def counts(self, event: str) -> None:
         pause, self.pause = self.pause, 0.0
         lag, self.route.lag = self.route.lag, 0
@@ -118,11 +123,9 @@
     gc.callbacks.append(service.pauses)
     service.start()
     log.info("ready", extra={"kv": {"name": node.name, "listen": "%s:%d" % node.listen}})
-    while (got := signal.sigtimedwait(SIGNALS, COUNTS_EVERY)) is None or got.si_signo == signal.SIGHUP:
-        if got is None:
-            service.counts("counts")
-        else:
-            service.reload()
+    # Without a time limit: one that passes while the process is stopped makes up a signal that nobody sent.
+    while signal.sigwait(SIGNALS) == signal.SIGHUP:
+        service.reload()
     log.info("ending", extra={"kv": {"open": len(service.book.open)}})
     service.end()
     service.counts("ended")
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -364,6 +364,18 @@
     assert service.process.wait(20) == 0 and "event=ended" in service.lines()
 
 
+def test_a_program_that_is_stopped_for_a_while_goes_on_when_it_is_continued(run):
+    """Found on sockets: stopped while it waited for a signal with a time limit, it took the end of that for SIGTERM."""
+    service = run(Cache())
+    service.client()
+    service.process.send_signal(signal.SIGSTOP)
+    time.sleep(5.5)
+    service.process.send_signal(signal.SIGCONT)
+    client = service.client()
+    client.ask(1)
+    assert client.get()[:3] == (66, 1, 79) and "event=ending" not in service.lines()
+
+
 def test_clients_that_send_nothing_give_way_to_others(run):
     service = run(Cache())
     first, kept = service.client(), service.client()
