A source counts as silent only while it brings nothing at all

May hurt where a source brings a few fills and hangs on the rest: those hops now wait for their own time limit unless their cache falls silent.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -602,7 +602,7 @@
             return
         if source in self.fleet.parents:
             if source.missed >= MISSED_FILLS and not source.ejected_until and LATE_FILLS <= sum(
-                    now - h.sent >= self.patience(h) for h in source.feeds.values()):
+                    now - max(h.sent, source.heard) >= self.patience(h) for h in source.feeds.values()):
                 self.fleet.eject(source, now, "its fills do not come")
             if source.ejected_until:
                 hop.alone = True
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -128,6 +128,17 @@
     assert len(ejected) <= 2 and not [line for line in ejected if "ejected p" in line]
 
 
+def test_a_parent_that_brings_other_fills_is_not_silent_whatever_some_hops_wait_for():
+    """Found on sockets: caches' answers that came late or never had parents ejected whose other fills came well."""
+    day = Referee(rating=100.0)
+    for ident in range(400):
+        day.arrive(ident, obj=f"o{ident}", kb=10.0)
+        day.pass_time(20 * MS)
+        if ident % 20:  # one of twenty is never answered
+            day.end(ident, "completed", 2, number=0)
+    assert not [line for line in day.lines if "do not come" in line]
+
+
 def test_a_connection_that_breaks_is_one_failure_and_all_that_it_carried_goes_on():
     """Found on sockets: one spoilt answer took its connection, ejected a healthy server and used up all retries."""
     day = Referee(caches=2, rating=100.0)
