--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -26,6 +26,7 @@
 GARBAGE = 10_000, 50, 100  # looks for cycles are rare: a txn leaves none behind, and a look holds up all threads
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)  # the last one: the file is read again
 COUNTS_EVERY = 5.0  # seconds
+LANE_MEMORY = 2 << 20  # bytes of the limit for each connection to a server
 PARTING = 0.2  # seconds in which clients may close by themselves
 STILL_COMING = 0.7  # seconds after SIGTERM for which clients still come, by the protocol
 
@@ -44,8 +45,9 @@
         site, self.node = node.site, node
         self.relay = Relay(most_held=node.memory // 4)
         self.book = Book()
-        # Descriptors: half for clients, who hold a third at most, a quarter for servers, the rest in reserve.
-        self.send = Send(site, self.book, self.relay, node.sockets // 4)
+        # Descriptors: half for clients, who hold a third at most, a quarter for servers, the rest in reserve. A
+        # connection to a server takes up to 0.6 MB, as measured: together they get under a third of the memory.
+        self.send = Send(site, self.book, self.relay, min(node.sockets // 4, node.memory // LANE_MEMORY))
         self.route = Route(site, node.seed, self.book, self.relay, self.send)
         self.board = Board(node.board, self.route, node.seed)
         self.board.begin(node.known, node.known_to)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,6 +1,7 @@
 """The whole program as a process, between stand-ins on loopback. Tests wait for conditions, not for times."""
 
 
+import json
 import signal
 import socket
 import subprocess
@@ -12,6 +13,7 @@
 
 import pytest
 
+from fieldspur.__main__ import Service as Whole
 from fieldspur.host import RESULTS
 from fieldspur.net import holds as holding, resp
 from fieldspur.net.admit import Admit
@@ -23,7 +25,7 @@
 from fieldspur.net.route import Route
 from fieldspur.net.send import Hop, Send
 from fieldspur.net.takein import Client as ClientSide, encode
-from fieldspur.site import MS, deployment
+from fieldspur.site import MS, deployment, read_node
 from helpers import Cache, Client, Listener, Notices, Service, endpoint, settings, until
 
 ACK = ("ACK", "entity=e,issued=1,tell=TCP_HIT", b"bytes")
@@ -442,6 +444,15 @@
     assert client.get()[:3] == (66, 1, 79) and len(cache.wants) == 1
 
 
+def test_connections_to_servers_are_bounded_by_memory_too(run):
+    service = run(Cache(), limits={"cores": 1.0, "memory_mb": 32, "sockets": 1024})
+    service.end()
+    service.path.write_text(json.dumps(service.conf))
+    whole = Whole(read_node({"LB_CONFIG": str(service.path)}))
+    whole.takein.close()
+    assert whole.send.most_lanes == 16 and whole.takein.most_clients == 512
+
+
 def test_a_faulty_key_ends_the_program_with_code_2(run):
     service = run(board="nowhere")
     assert service.process.wait(20) == 2
