--- a/fieldspur/bench/path.py
+++ b/fieldspur/bench/path.py
@@ -8,6 +8,7 @@
 import shutil
 import signal
 import socket
+import statistics
 import subprocess
 import sys
 import tempfile
@@ -63,9 +64,15 @@
                             stdout=subprocess.PIPE, text=True)
 
 
-def measure(build: Path, work: str, seconds: float = 4.0, trace: bool = True, python: str = sys.executable) -> dict:
-    """One work against one build, with servers and clients in other processes. Figures are a txn's."""
+def measure(build: Path, work: str, seconds: float = 4.0, trace: bool = True, core: int | None = None) -> dict:
+    """One work against one build, with servers and clients in other processes. Figures are a txn's. With `core` the
+    router is kept on that one, and all else off it."""
     rule, size, flight = WORKS[work]
+    cores = os.sched_getaffinity(0)
+    if core is not None:
+        if core not in cores or len(cores) < 2:
+            raise BenchFailed(f"core {core}: not one of {sorted(cores)}, or no other is left")
+        os.sched_setaffinity(0, cores - {core})  # of this process and the peers that it starts
     cache = peer(what="hits", body=size)
     board = socket.create_server(("127.0.0.1", 0))
     where, router = tempfile.mkdtemp(), None
@@ -75,8 +82,10 @@
         path = os.path.join(where, "node.json")
         Path(path).write_text(json.dumps(conf))
         env = {**os.environ, "LB_CONFIG": path, "MALLOC_ARENA_MAX": "2", "PYTHONPATH": str(build)}
-        router = subprocess.Popen([python, "-B", "-O", "-m", "fieldspur"], cwd=build, env=env,
+        router = subprocess.Popen([sys.executable, "-B", "-O", "-m", "fieldspur"], cwd=build, env=env,
                                   stderr=subprocess.DEVNULL)
+        if core is not None:
+            os.sched_setaffinity(router.pid, {core})
 
         def run(span: float) -> dict:
             asker = peer(what="loop", address=["127.0.0.1", listen], flight=flight, seconds=span, rule=rule,
@@ -110,6 +119,7 @@
                               if count / max(1, done["txns"]) >= 0.005}
         return found
     finally:
+        os.sched_setaffinity(0, cores)
         for process in (router, cache):
             if process is not None:
                 process.kill()
@@ -118,6 +128,30 @@
         shutil.rmtree(where)
 
 
+def rounds(builds: dict, works: tuple, seconds: float, count: int, core: int | None) -> list[dict]:
+    """Each work with each build in turn, so that what the machine does meanwhile meets all; medians, and the best CPU."""
+    rows = []
+    for work in works:
+        found: dict[str, list] = {name: [] for name in builds}
+        for n in range(count):
+            for name, build in builds.items():
+                found[name].append(measure(build, work, seconds, trace=n == 0, core=core))
+        for name, runs in found.items():
+            row = {key: statistics.median(run[key] for run in runs) for key, value in runs[0].items()
+                   if isinstance(value, (int, float))}
+            rows.append({"work": work, "build": name, **row, "best_cpu_us": min(run["cpu_us"] for run in runs),
+                         "calls": runs[0].get("calls", {})})
+    return rows
+
+
+def counted(rule: str) -> dict:
+    """The counts of `fieldspur.bench.count`, from a process of its own, for its router's threads stay."""
+    done = subprocess.run([sys.executable, "-m", "fieldspur.bench.count", rule], cwd=ROOT, capture_output=True, text=True)
+    if done.returncode:
+        raise BenchFailed(f"{rule}: {(done.stderr.strip().splitlines() or ['no counts'])[-1]}")
+    return json.loads(done.stdout.split(" ", 1)[1])
+
+
 def worktree(commit: str) -> Path:
     """A checkout of another commit of this repository, made once and kept out of it."""
     where = Path(tempfile.gettempdir()) / f"fieldspur-{commit}"
--- /dev/null
+++ b/fieldspur/cli.py
@@ -0,0 +1,224 @@
+"""The command line, `fieldspur`. Each command imports what it needs when it is called."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from pathlib import Path
+
+import click
+
+from fieldspur import __version__
+
+
+class Bad(click.ClickException):
+    """A file or argument that can't be used: one line, code 2."""
+
+    exit_code = 2
+
+    def show(self, file=None) -> None:
+        click.echo(f"fieldspur: {self.format_message()}", err=True)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, message="%(version)s")
+def main() -> None:
+    """A traffic router for a two-tier cache, its laboratory and its benches."""
+
+
+@main.command()
+@click.option("--config", type=click.Path(dir_okay=False), help="The node's file; LB_CONFIG without it.")
+@click.option("--operators", type=click.Path(dir_okay=False), help="The operators' file; LB_OPERATORS without it.")
+@click.option("--name", help="The router's name, before what the file says.")
+@click.option("--listen", metavar="ADDRESS:PORT", help="Where clients connect, before what the file says.")
+def run(config, operators, name, listen) -> None:
+    """Run a router until SIGTERM. It goes on as `python -O -m fieldspur`."""
+    for variable, value in (("LB_CONFIG", config), ("LB_OPERATORS", operators), ("LB_NAME", name), ("LB_LISTEN", listen)):
+        if value:
+            os.environ[variable] = value
+    os.execv(sys.executable, [sys.executable, "-O", "-m", "fieldspur"])
+
+
+@main.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--kind", type=click.Choice(["auto", "node", "operators", "scenario"]), default="auto",
+              help="What the file is; told by its keys without it.")
+def check(file, kind) -> None:
+    """Check a node's file, an operators' file or a scenario. A faulty key is named; code 2."""
+    from fieldspur import operators, site
+    from fieldspur.lab import scenario
+
+    try:
+        data = Path(file).read_bytes()
+    except OSError as wrong:
+        raise Bad(f"{file}: {wrong.strerror}") from None
+    if kind == "auto":
+        try:
+            keys = json.loads(data or b"{}")
+        except ValueError:
+            raise Bad(f"{file}: not JSON") from None
+        keys = keys if isinstance(keys, dict) else {}
+        kind = "node" if "settings" in keys or "board" in keys else "scenario" if "servers" in keys else "operators"
+    try:
+        if kind == "node":
+            site.read_node({"LB_CONFIG": file})
+        elif kind == "scenario":
+            scenario.parse(data)
+        else:
+            operators.parse(data)
+    except (site.BadSite, operators.BadFile) as wrong:
+        raise Bad(f"{file}: {wrong}") from None
+    click.echo(f"{file}: a good {kind} file")
+
+
+@main.command()
+@click.argument("kind", type=click.Choice(["operators", "scenario"]), default="operators")
+def schema(kind) -> None:
+    """Print the JSON schema of the operators' file or of a scenario."""
+    from fieldspur import operators
+    from fieldspur.lab import scenario
+
+    click.echo(operators.schema_text() if kind == "operators" else scenario.schema_text(), nl=False)
+
+
+@main.group()
+def bench() -> None:
+    """What a txn costs."""
+
+
+@bench.command("path")
+@click.option("--guard", is_flag=True, help="Only counts that do not depend on the machine, against their limits; code 1.")
+@click.option("--against", metavar="COMMIT", help="Measure that commit of this repository too, in turn.")
+@click.option("--work", "works", multiple=True, help="Only this work; may be given again.")
+@click.option("--seconds", type=click.FloatRange(0.5, 60), default=3.0, show_default=True, help="Of each round.")
+@click.option("--rounds", type=click.IntRange(1, 20), default=3, show_default=True)
+@click.option("--core", type=int, help="Keep the router on this core, as the platform does.")
+@click.option("--json", "as_json", is_flag=True, help="Figures as JSON.")
+def bench_path(guard, against, works, seconds, rounds, core, as_json) -> None:
+    """Counts and costs of the ordinary path, a txn."""
+    from fieldspur.bench import count, path, tell
+
+    try:
+        if guard:
+            found = count.guard()
+            for rule, lines in found.items():
+                for line in lines:
+                    click.echo(f"{rule}: {line}", err=True)
+            if as_json:
+                click.echo(json.dumps(found))
+            os._exit(1 if found else 0)  # the counted router's threads are still there
+        for work in works:
+            if work not in path.WORKS:
+                raise Bad(f"--work: no {work}; there are {', '.join(path.WORKS)}")
+        builds = {"this": path.ROOT, **({against: path.worktree(against)} if against else {})}
+        rows = path.rounds(builds, works or tuple(path.WORKS), seconds, rounds, core)
+        counted = {} if against else {rule: path.counted(rule) for rule in count.SIZES}
+    except path.BenchFailed as wrong:
+        raise click.ClickException(str(wrong)) from None
+    click.echo(json.dumps({"works": rows, "counts": counted}) if as_json else tell.table(rows, counted))
+
+
+@main.group()
+def lab() -> None:
+    """The laboratory: emulated servers, load, failures, rules checked on the sockets."""
+
+
+@lab.command("list")
+def lab_list() -> None:
+    """Scenarios that come with the program."""
+    from fieldspur.lab import scenario
+
+    for name in scenario.names():
+        click.echo(f"{name:16}{scenario.load(name).about}")
+
+
+def scenario_of(name: str, seed=None, seconds=None):
+    from fieldspur.lab import scenario
+    from fieldspur.operators import BadFile
+
+    try:
+        return scenario.load(name, seed=seed, seconds=seconds)
+    except BadFile as wrong:
+        raise Bad(f"{name}: {wrong}") from None
+
+
+@lab.command("run")
+@click.argument("name")
+@click.option("--seed", type=int, help="Another one than the scenario's.")
+@click.option("--seconds", type=click.FloatRange(1, 86_400), help="Longer or shorter; faults move along.")
+@click.option("--build", type=click.Path(exists=True, file_okay=False), help="Another checkout of fieldspur to run.")
+@click.option("--json", "as_json", is_flag=True, help="All figures as JSON; without it, the main ones as a table.")
+@click.option("--report", type=click.Path(file_okay=False), help="Write an HTML report with plots into this folder.")
+@click.option("--logs", type=click.Path(file_okay=False), help="Keep the routers' logs in this folder.")
+@click.option("--top", is_flag=True, help="Show a live table meanwhile.")
+def lab_run(name, seed, seconds, build, as_json, report, logs, top) -> None:
+    """Play a scenario, a name of `lab list` or a JSON file. Code 1 where a rule or an expectation broke."""
+    from fieldspur.lab import far, play, report as reporting
+
+    plan = scenario_of(name, seed, seconds)
+    try:
+        if plan.far is not None:
+            found = far.play(plan)
+        else:
+            found = play.play(plan, build=build, logs=logs, live=reporting.Live() if top else None)
+    except play.LabFailed as wrong:
+        raise click.ClickException(str(wrong)) from None
+    if report:
+        reporting.write(Path(report), [found])
+    click.echo(json.dumps(found) if as_json else reporting.text(found))
+    raise SystemExit(0 if found["passed"] else 1)
+
+
+@lab.command("compare")
+@click.argument("name")
+@click.option("--build", "builds", multiple=True, required=True, type=click.Path(exists=True, file_okay=False),
+              help="A checkout to run beside this one, or two of them.")
+@click.option("--report", type=click.Path(file_okay=False), help="Write an HTML report with plots into this folder.")
+@click.option("--json", "as_json", is_flag=True)
+def lab_compare(name, builds, report, as_json) -> None:
+    """Play one scenario with two builds, one after the other, with the same seed and plan."""
+    from fieldspur.lab import play, report as reporting
+
+    plan = scenario_of(name)
+    if plan.far is not None:
+        raise Bad(f"{name}: plays in simulated time, which knows one build only")
+    chosen = list(builds) if len(builds) > 1 else [None, builds[0]]
+    try:
+        found = [play.play(plan, build=build) for build in chosen]
+    except play.LabFailed as wrong:
+        raise click.ClickException(str(wrong)) from None
+    if report:
+        reporting.write(Path(report), found)
+    click.echo(json.dumps(found) if as_json else reporting.side_by_side(found))
+    raise SystemExit(0 if all(one["passed"] for one in found) else 1)
+
+
+@main.command()
+@click.option("--scenario", "name", default="market", show_default=True, help="What is played.")
+@click.option("--seconds", type=click.FloatRange(1, 86_400), help="Longer or shorter.")
+def top(name, seconds) -> None:
+    """A live table of routers and servers while a scenario plays; ends with it, or with Ctrl-C."""
+    from fieldspur.lab import play, report as reporting
+
+    plan = scenario_of(name, None, seconds)
+    if plan.far is not None:
+        raise Bad(f"{name}: plays in simulated time; there is nothing to watch")
+    try:
+        found = play.play(plan, live=reporting.Live())
+    except play.LabFailed as wrong:
+        raise click.ClickException(str(wrong)) from None
+    except KeyboardInterrupt:
+        raise SystemExit(130) from None
+    click.echo(reporting.text(found))
+    raise SystemExit(0 if found["passed"] else 1)
+
+
+@main.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell) -> None:
+    """Print the line that turns on completion in a shell."""
+    lines = {"bash": 'eval "$(_FIELDSPUR_COMPLETE=bash_source fieldspur)"',
+             "zsh": 'eval "$(_FIELDSPUR_COMPLETE=zsh_source fieldspur)"',
+             "fish": "_FIELDSPUR_COMPLETE=fish_source fieldspur | source"}
+    click.echo(lines[shell])
--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -121,6 +121,8 @@
 
     def oldest_copy(self, now: int, obj, group: int, fresh: int) -> int:
         """The oldest copy that will do, never 0 where a purge binds (0 leaves it to the rule)."""
+        if not self.made:
+            return 0
         made = max(self.made.get((obj, 0), 0), self.made.get((None, group), 0))
         return min(max(1000, now - made), fresh or now) if made and now - made <= 2 * self.span else 0
 
@@ -291,7 +293,9 @@
 
     def seen(self, s: Server, now: int) -> float:
         """The crowd at a cache, as lately seen there, and as at the others the longer that is ago."""
-        usual = self.usual_crowd(now)
+        usual = self.crowd and self.crowd * math.exp((self.crowd_at - now) / SEEN_SPAN)
+        if not s.crowd[0] and not usual:
+            return 0.0
         return usual + (s.crowd[0] - usual) * math.exp((s.crowd[1] - now) / SEEN_SPAN)
 
     def usual_crowd(self, now: int) -> float:
@@ -315,12 +319,11 @@
     def link_crowding(self, now: int, more: float) -> float:
         told = self.link_told if self.link_told_at and now - self.link_told_at < TOLD_SPAN else 0.0
         if now - self.fills_at >= LOOK_GAP:  # between looks it is counted on by hops that begin and end
-            self.fills, self.fills_at = sum(self.filling(s, now) for s in self.caches), now
+            self.fills, self.fills_at = sum([self.filling(s, now) for s in self.caches if s.out]), now
         return max(told, self.all_over(self.fills + more, self.link_fits))
 
-    def cache_for(self, obj, part, now, mean, crowd, avoid, follow, allowed) -> Server | None:
-        """The home cache, or as far down its order as health, budgets and crowding make it go."""
-        order = self.order(obj, part)
+    def cache_for(self, order, obj, part, now, mean, crowd, avoid, follow, allowed) -> Server | None:
+        """The home cache, first of `order`, or as far down it as health, budgets and crowding make it go."""
         if order and follow is None and not avoid:  # the ordinary case of all below: home is well and has room
             home = order[0]
             if home.state == "up" and not home.ejected_until and not self.is_cold(home, now) and allowed is None:
@@ -353,6 +356,8 @@
         if ranked and ranked[0].state == "up" and not ranked[0].ejected_until and not avoid \
                 and not self.is_cold(ranked[0], now):
             return ranked[0]  # the ordinary case of what follows
+        if not ranked and self.origin is not None:
+            return self.origin if self.origin.state == "up" else None
         able = [s for s in ranked if s.state == "up" and s.name not in avoid and self.has_room(s, now, charge)]
         fit = [s for s in able if self.healthy(s, now)]
         origin = [self.origin] if self.origin and self.origin.state == "up" else []
@@ -428,34 +433,37 @@
         filling, fetch = 0.0 if known or rule.never_kept else self.fleet.miss_share, True
         crowd = CROWD_LEAST + min(CROWD_MOST, worth)
         follow = leader.hops[-1].server if leader is not None and leader.hops else None
-        server = self.fleet.cache_for(txn.obj, txn.part, now, mean, crowd, txn.avoid, follow,
-                                      (lambda s: self.may_send(txn, s, now)) if txn.hops else None)
+        fleet = self.fleet
+        order = fleet.order(txn.obj, txn.part)
+        server = fleet.cache_for(order, txn.obj, txn.part, now, mean, crowd, txn.avoid, follow,
+                                 (lambda s: self.may_send(txn, s, now)) if txn.hops else None)
         if server is None:  # nowhere to go, or too crowded for what the txn is worth
             return self.give_up(txn)
         if rule.never_kept:
-            source, rank, charged = self.fleet.origin, 0, 0.0
+            source, rank, charged = fleet.origin, 0, 0.0
             if source is None or source.state != "up":
                 return self.give_up(txn)
         else:
-            home, rank = self.fleet.order(txn.obj, txn.part)[0], KEPT_RANK
-            if (server is not home and self.fleet.siblings and home.state == "up"
-                    and self.fleet.healthy(home, now) and not self.fleet.is_cold(home, now)
+            home, rank = order[0], KEPT_RANK
+            if (server is not home and fleet.siblings and home.state == "up"
+                    and fleet.healthy(home, now) and not fleet.is_cold(home, now)
                     and home.name not in txn.avoid):
                 source, filling = home, 0.0  # a spread part comes from its home, not over the way in
-            elif filling and self.fleet.link_crowding(now, filling) > LINK_SHARE * crowd:
+            elif filling and fleet.link_crowding(now, filling) > LINK_SHARE * crowd:
                 # Guards the way in against more misses than it takes: what would begin a fill is given up.
                 source, filling, txn.past_fresh = server, 0.0, True
             else:
-                source = self.fleet.source_for(txn.obj, now, mean, txn.avoid)
-            origin = self.fleet.origin  # where it fails, parents give what they hold and few txns try it
-            ask = 1.0 if origin is None or origin.fails < ORIGIN_LIMIT else max(ORIGIN_TRY, 1 - origin.fails)
-            if self.random.random() > ask:
+                source = fleet.source_for(txn.obj, now, mean, txn.avoid)
+            origin = fleet.origin  # where it fails, parents give what they hold and few txns try it
+            if (origin is not None and origin.fails >= ORIGIN_LIMIT
+                    and self.random.random() > max(ORIGIN_TRY, 1 - origin.fails)):
                 source, fetch, txn.past_fresh = server if source is origin else source, False, True
-            charged = mean if source is not None and self.fleet.is_cold(source, now) else 0.0
-        server.tokens -= mean if self.fleet.is_cold(server, now) else 0.0
+            charged = mean if source is not None and source.started and fleet.is_cold(source, now) else 0.0
+        if server.started and fleet.is_cold(server, now):
+            server.tokens -= mean
         hop = Hop(txn.ident, len(txn.hops), server, source, now, txn.work, len(server.out), filling, charged,
                   fetch, counted=filling)
-        self.fleet.fills_change(server, filling)
+        fleet.fills_change(server, filling)
         server.heard = server.heard if server.out else now  # nothing was owed until now
         txn.hops.append(hop)
         server.out[txn.ident, hop.number] = hop
@@ -466,9 +474,9 @@
         span = rule.fresh + rule.grace if txn.past_fresh and rule.fresh and rule.grace else rule.fresh
         age = self.purges.oldest_copy(now, txn.obj, txn.group, span) or (span if span > rule.fresh else 0)
         self.host.hop(txn.ident, server.name, txn.limit_at, source.name if source else None, rank, age,
-                      self.joins and not rule.never_kept and not any(h.alone for h in txn.hops),
+                      self.joins and not rule.never_kept and not (hop.number and any(h.alone for h in txn.hops)),
                       rule.fresh > 0, fetch)
-        hop.due = self.at(now + self.patience(hop), self.hop_due, hop)
+        hop.due = self.at(now + self.patience(hop, now), self.hop_due, hop)
 
     def may_send(self, txn: Txn, server: Server, now: int) -> bool:
         """Guards against an effect that happens twice."""
@@ -607,17 +615,17 @@
         elif result in ("full", "missing", "cancelled") and not hop.alone:
             txn.avoid.add((source if result == "missing" and source in self.fleet.caches else server).name)
 
-    def patience(self, hop: Hop) -> int:
+    def patience(self, hop: Hop, now: int) -> int:
         """How long a server may stay silent with this hop out, the more the more it has to do."""
         return int(QUIET_LEAST
-                   + QUIET_TIMES * (self.fleet.hit_time(hop, self.host.now()) + self.first_byte_after))
+                   + QUIET_TIMES * (self.fleet.hit_time(hop, now) + self.first_byte_after))
 
     def hop_due(self, hop: Hop) -> None:
         """Guards against caches that answer nothing, and sources that send nothing while others do."""
         now, server, source = self.host.now(), hop.server, hop.source
         if not hop.out or hop.dropped:
             return
-        if now - max(server.heard, hop.sent) >= self.patience(hop) * (1 if len(server.out) > 1 else ALONE):
+        if now - max(server.heard, hop.sent) >= self.patience(hop, now) * (1 if len(server.out) > 1 else ALONE):
             if now >= server.ejected_until:
                 self.fleet.eject(server, now, "silent")
             for other in list(server.out.values()):
@@ -626,7 +634,7 @@
             return
         if source in self.fleet.parents:
             if source.missed >= MISSED_FILLS and not source.ejected_until and LATE_FILLS <= sum(
-                    now - max(h.sent, source.heard) >= self.patience(h) for h in source.feeds.values()):
+                    now - max(h.sent, source.heard) >= self.patience(h, now) for h in source.feeds.values()):
                 self.fleet.eject(source, now, "its fills do not come")
             if source.ejected_until:
                 hop.alone = True
--- /dev/null
+++ b/fieldspur/lab/check.py
@@ -0,0 +1,160 @@
+"""Holds the five rules against what passed on the sockets, apart from any count of a router's. No I/O; times in Unix ns.
+
+1 one final answer a txn, in time, nothing after it; 2 no unrepeatable effect twice, keyed repeats only in their span;
+3 nothing new, as hop or fill source, to a draining or gone server after the grace; 4 a cold server is not pushed over;
+5 no answer from a copy older than a purge after the grace."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from dataclasses import dataclass, field
+
+MS, SECOND = 1_000_000, 1_000_000_000
+SLACK = 50 * MS  # that the protocol adds to each time limit
+OWN = 60 * MS  # a txn's way through this process, which plays all other parties in one thread
+DRAIN_GRACE, PURGE_GRACE = 250 * MS, 500 * MS
+TOLD_LATE = 4 * SECOND  # what a board that breaks has to tell counts as told so much later
+NEVER_RAN = ("NOENT", "AGAIN", "STALE")
+MOST_KEPT = 200  # violations of one rule that are kept in full
+
+
+@dataclass(slots=True)
+class Try:
+    """One request on the sockets."""
+
+    ident: str
+    kind: str  # "repeatable", "keyed" or "unrepeatable"
+    obj: str
+    part: int
+    group: int
+    key: str | None
+    sent: int
+    limit_at: int
+    answered: int = 0
+    withdrawn: int = 0
+    hops: list = field(default_factory=list)  # [when it came to a server, how it ended there]
+
+
+class Checker:
+    """`lag` is how late this process itself may be; it is added wherever time is judged."""
+
+    def __init__(self, fall_multiple: float, span: int = 6 * SECOND, routers: int = 1):
+        self.fall_multiple, self.span, self.routers = fall_multiple, span, routers
+        self.tries: dict[tuple, Try] = {}  # open ones, by connection and stream
+        self.by_ident: dict[str, Try] = {}
+        self.states: dict[str, tuple[str, int]] = {}  # state of each server, and since when it is told
+        self.purges: list[tuple] = []  # (object, group, made, told)
+        self.cold: dict[str, deque] = {}  # (when, work) of the last second at each cold server
+        self.effects: Counter = Counter()  # how often each txn's effect took place, by key or id
+        self.kinds: dict[str, str] = {}
+        self.violations: dict[int, list[str]] = {rule: [] for rule in range(1, 6)}
+        self.counts: Counter = Counter()
+        self.lag = 0
+
+    def broke(self, rule: int, text: str) -> None:
+        self.counts[f"rule_{rule}"] += 1
+        if len(self.violations[rule]) < MOST_KEPT:
+            self.violations[rule].append(text)
+
+    def kept(self) -> bool:
+        return not any(self.violations.values())
+
+    # Clients' side.
+
+    def sent(self, conn, stream: int, one: Try) -> None:
+        self.tries[conn, stream] = one
+        self.by_ident[one.ident] = one
+        self.kinds[one.key or one.ident] = one.kind
+        self.counts["tries"] += 1
+
+    def answered(self, conn, stream: int, word: str, at: int, issued: int | None = None, wrong: str = "") -> Try | None:
+        """An answer came. `issued`, in ns: of the copy that a completed one brought; `wrong`: why it can't be used."""
+        one = self.tries.pop((conn, stream), None)
+        if one is None:
+            self.broke(1, f"an answer to nobody, or a second one, on stream {stream}")
+            return None
+        if one.withdrawn:  # it may cross the withdrawal, no later
+            if at - one.withdrawn > SLACK + OWN + self.lag:
+                self.broke(1, f"txn {one.ident}: answered {(at - one.withdrawn) // MS} ms after it was withdrawn")
+            return None
+        one.answered = at
+        self.counts[word] += 1
+        if wrong:
+            self.broke(1, f"txn {one.ident}: {wrong}")
+        if at > one.limit_at + SLACK + OWN + self.lag:
+            self.broke(1, f"txn {one.ident}: answered {(at - one.limit_at) // MS} ms after its time limit")
+        if word == "rejected" and one.kind == "unrepeatable" and any(end not in NEVER_RAN for _, end in one.hops):
+            self.broke(2, f"txn {one.ident}: rejected as harmless to try again, and it may have run")
+        if word == "completed" and issued is not None:
+            for obj, group, made, told in self.purges:
+                if ((obj == one.obj or obj is None and group in (-1, one.group)) and issued < made - MS
+                        and one.sent > told + PURGE_GRACE + self.lag):
+                    self.broke(5, f"txn {one.ident}: a copy {(made - issued) // MS} ms older than a purge, "
+                                  f"asked {(one.sent - told) // MS} ms after it was told")
+                    break
+        return one
+
+    def withdrew(self, conn, stream: int, at: int) -> None:
+        one = self.tries.get((conn, stream))
+        if one is not None:
+            one.withdrawn = at
+
+    def closed(self, conn, at: int, fault: bool) -> list[Try]:
+        """A connection ended: all that was open on it is lost, unless a fault that was played took the router away."""
+        lost = [self.tries.pop(spot) for spot in [spot for spot in self.tries if spot[0] is conn]]
+        lost = [one for one in lost if not one.withdrawn]
+        for one in lost:
+            self.counts["lost"] += 1
+            if not fault and at < one.limit_at + SLACK:
+                self.broke(1, f"txn {one.ident}: its connection ended without an answer")
+        return lost
+
+    def finish(self, at: int) -> None:
+        """At the end: what has had no answer in its time, and effects that took place twice."""
+        for one in self.tries.values():
+            if not one.withdrawn and at > one.limit_at + SLACK + OWN + self.lag:
+                self.broke(1, f"txn {one.ident}: no answer {(at - one.limit_at) // MS} ms after its time limit")
+        for name, times in self.effects.items():
+            if times > 1 and self.kinds.get(name) != "repeatable":
+                self.broke(2, f"{self.kinds.get(name, 'unknown')} txn {name}: its effect took place {times} times")
+
+    # Servers' side.
+
+    def told(self, name: str, state: str, at: int) -> None:
+        if self.states.get(name, ("", 0))[0] != state:
+            self.states[name] = (state, at)
+
+    def hop(self, server: str, source: str | None, ident: str, at: int) -> list | None:
+        """A hop came to a server; the entry given back is told of its end."""
+        self.counts["hops"] += 1
+        for name, what in ((server, "a hop"), (source, "a fill source")):
+            state, since = self.states.get(name, ("up", 0)) if name else ("up", 0)
+            if state != "up" and at > since + DRAIN_GRACE + OWN + self.lag:
+                self.broke(3, f"{what} {(at - since) // MS} ms after {name} was told to be {state}")
+        one = self.by_ident.get(ident)
+        if one is None:
+            self.broke(1, f"a hop for txn {ident}, which nobody sent")
+            return None
+        ran = [when for when, end in one.hops if end not in NEVER_RAN]
+        if ran and one.kind == "unrepeatable":
+            self.broke(2, f"unrepeatable txn {ident} sent again, and it may have run")
+        if ran and one.kind == "keyed" and at - ran[0] > self.span + OWN:
+            self.broke(2, f"keyed txn {ident} sent again {(at - ran[0]) // MS} ms after it may have run")
+        one.hops.append([at, ""])
+        return one.hops[-1]
+
+    def asked_of_cold(self, name: str, able: float, work: int, at: int) -> None:
+        """So much was asked of a cold server, that now does `able` transfers at full pace; work in ns of one."""
+        rows = self.cold.setdefault(name, deque())
+        rows.append((at, work))
+        while rows[0][0] < at - SECOND:
+            rows.popleft()
+        total, largest = sum(w for _, w in rows), max(w for _, w in rows)
+        if total > self.fall_multiple * able * SECOND + 2 * self.routers * largest:
+            self.broke(4, f"{name}: asked for {total / SECOND:.1f} s of transfers in a second, able to do {able:.1f}")
+
+    def effect(self, name: str) -> None:
+        self.effects[name] += 1
+
+    def purged(self, obj: str | None, group: int, made: int, told: int) -> None:
+        self.purges.append((obj, group, made, told))
--- /dev/null
+++ b/fieldspur/lab/play.py
@@ -0,0 +1,295 @@
+"""Plays a scenario: routers as processes, everything else in this one; figures, rules and expectations come out."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Callable
+
+from fieldspur.bench import plain
+from fieldspur.bench.path import ROOT, free_port, usage
+from fieldspur.lab.check import SECOND, Checker
+from fieldspur.lab.load import TICK, Load
+from fieldspur.lab.loop import Loop
+from fieldspur.lab.servers import Board, World
+
+READY_WAIT = 15.0  # seconds for a router to come up
+SAMPLE = SECOND // 2
+RECOVERED = 0.9  # of the worth before a fault
+
+
+class LabFailed(Exception):
+    """The scenario could not be played; the text says why."""
+
+
+class Node:
+    """One router as a process."""
+
+    def __init__(self, number: int, world: World, where: Path, build: Path, command: list | None, logs: Path | None):
+        self.number, self.world, self.build = number, world, build
+        self.address = ("127.0.0.1", free_port())
+        self.path = where / f"node-{number}.json"
+        self.command = command or [sys.executable, "-B", "-O", "-m", "fieldspur"]
+        self.log = (logs / f"node-{number}.log").open("ab") if logs else subprocess.DEVNULL
+        self.samples: list[dict] = []
+        self.process: subprocess.Popen | None = None
+        self.starts, self.crashed = 0, ""
+
+    def write(self, board: Board) -> None:
+        plan, servers = self.world.plan, self.world.plan.servers
+        conf = plain.node_file(self.address[1], board.port, [], name=f"n{self.number}", memory_mb=plan.memory_mb,
+                               sockets=plan.sockets, seed=f"{plan.seed * 100 + self.number + self.starts:x}",
+                               routers=plan.routers, everywhere=plan.routers)
+        conf["known"] = {"rev": len(board.events), "notices": list(board.events)}
+        conf["settings"]["guarantees"] |= dict(coldFrom=servers.cold_share, rampTimeUs=int(servers.ramp_s * 1e6),
+                                               fallMultiple=servers.fall_multiple)
+        conf["settings"]["familyInfo"] |= dict(upperColdFrom=servers.cold_share, parentRampUs=int(servers.ramp_s * 1e6),
+                                               upperFallMultiple=servers.fall_multiple)
+        self.path.write_text(json.dumps(conf))
+
+    def start(self) -> None:
+        self.write(self.world.board)
+        self.starts += 1
+        env = {**os.environ, "LB_CONFIG": str(self.path), "MALLOC_ARENA_MAX": "2", "PYTHONPATH": str(self.build)}
+        self.process = subprocess.Popen(self.command, cwd=self.build, env=env, stderr=self.log)
+
+    def ready(self) -> bool:
+        try:
+            with socket.create_connection(self.address, timeout=1) as sock:
+                sock.sendall(b"\0\0\0\6\x50\0\0\0\1\0")
+                sock.settimeout(1)
+                return sock.recv(100)[9:10] == b"\x4f"
+        except OSError:
+            return False
+
+    def sample(self, second: float) -> None:
+        try:
+            seen = usage(self.process.pid)
+            files = len(os.listdir(f"/proc/{self.process.pid}/fd"))
+        except (OSError, TypeError, AttributeError):
+            return
+        self.samples.append({"second": second, "files": files, **seen})
+
+    def stop(self) -> None:
+        """SIGTERM, and its end within the longest time limit; anything else counts as a crash."""
+        if self.process is None:
+            return
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+            try:
+                self.process.wait(12)
+            except subprocess.TimeoutExpired:
+                self.process.kill()
+                self.process.wait()
+                self.crashed = "did not end on SIGTERM"
+        if self.process.returncode:
+            self.crashed = self.crashed or f"ended with code {self.process.returncode}"
+        if self.log is not subprocess.DEVNULL:
+            self.log.close()
+
+
+class Play:
+    def __init__(self, plan, build: str | None, logs: str | None, command: list | None, live: Callable | None):
+        self.plan, self.live = plan, live
+        self.build = Path(build).resolve() if build else ROOT
+        self.loop = Loop()
+        self.checker = Checker(plan.servers.fall_multiple, routers=plan.routers)
+        self.world = World(self.loop, plan, self.checker)
+        self.folder = tempfile.TemporaryDirectory(prefix="fieldspur-lab-")
+        folder = Path(logs) if logs else None
+        if folder:
+            folder.mkdir(parents=True, exist_ok=True)
+        self.nodes = [Node(n, self.world, Path(self.folder.name), self.build, command, folder)
+                      for n in range(plan.routers)]
+        self.world.others = {"router_restart": self.router_restart, "reload": self.reload}
+        self.load: Load | None = None
+        self.curve: list[dict] = []
+
+    # Faults that are of the routers.
+
+    def node(self, fault) -> Node:
+        return self.nodes[int(fault.who or 0) % len(self.nodes)]
+
+    def router_restart(self, fault) -> None:
+        """SIGTERM; the front takes it out, and in again once the new process is ready."""
+        node = self.node(fault)
+        node.process.send_signal(signal.SIGTERM)
+        self.load.gone_until[node.number] = self.loop.now() + 3600 * SECOND
+
+        def look() -> None:
+            if node.process.poll() is None:
+                return self.loop.later(SAMPLE // 5, look)
+            if node.process.returncode:
+                node.crashed = f"ended with code {node.process.returncode}"
+            node.start()
+            self.loop.later(SAMPLE, back)
+
+        def back() -> None:
+            if node.process.poll() is not None:
+                node.crashed = "did not start again"
+            elif not node.ready():
+                self.loop.later(SAMPLE // 5, back)
+            else:
+                self.load.gone_until[node.number] = 0
+
+        look()
+
+    def reload(self, fault) -> None:
+        """The notice board moves, and the file says where to; the old one ends after 1.5 s."""
+        old = self.world.board
+        self.world.board = Board(self.loop, old.events)
+        for node in self.nodes:
+            node.write(self.world.board)
+            node.process.send_signal(signal.SIGHUP)
+        self.loop.later(3 * SECOND // 2, old.close)
+
+    # The run.
+
+    def run(self) -> dict:
+        try:
+            for node in self.nodes:
+                node.start()
+            end = time.monotonic() + READY_WAIT
+            self.loop.later(0, lambda: self.await_ready(end))
+            self.loop.run()
+            return self.figures()
+        finally:
+            for node in self.nodes:
+                node.stop()
+            self.folder.cleanup()
+
+    def await_ready(self, end: float) -> None:
+        """Routers come up while the loop serves them; `ready` waits a moment at most."""
+        if all(node.process.poll() is None for node in self.nodes):
+            waiting = [node for node in self.nodes if not node.ready()]
+            if not waiting:
+                return self.go()
+        if time.monotonic() > end or any(node.process.poll() is not None for node in self.nodes):
+            self.loop.stopped = True
+            raise LabFailed("a router did not come up; --logs keeps what it said")
+        self.loop.later(SAMPLE // 5, lambda: self.await_ready(end))
+
+    def go(self) -> None:
+        self.loop.lag = 0
+        self.begin = self.loop.now() + SECOND // 5
+        self.load = Load(self.loop, self.plan, self.checker, [node.address for node in self.nodes], self.begin,
+                         self.world.kb_of)
+        for fault in self.plan.faults:
+            self.loop.at(self.begin + int(fault.at * SECOND), lambda fault=fault: self.world.begin(fault))
+        self.sample()
+
+    def sample(self) -> None:
+        now = self.loop.now()
+        second = (now - self.begin) / SECOND
+        self.checker.lag = self.loop.lag
+        for node in self.nodes:
+            node.sample(second)
+        load, store = self.load, self.world.store
+        self.curve.append({"second": round(second, 2), "open": load.open, "fills": store.counts["fills"],
+                           "store": len(store.link.jobs),
+                           "caches": [len(front.model.link.jobs) for front in self.world.fronts.values()
+                                      if front.kind == "std"]})
+        if self.live is not None:
+            self.live(self)
+        over = now >= load.ends and (not load.open or now > load.ends + 9 * SECOND)
+        if over:
+            self.checker.finish(now)
+            self.loop.stopped = True
+        else:
+            self.loop.later(SAMPLE, self.sample)
+
+    # What came out.
+
+    def figures(self) -> dict:
+        load, plan, store = self.load, self.plan, self.world.store
+        for node in self.nodes:
+            if node.process.poll() is not None:
+                node.crashed = node.crashed or f"ended with code {node.process.returncode}"
+        classes = {}
+        for rule, words in load.words.items():
+            total, times = sum(words.values()), load.times[rule]
+            classes[rule] = {
+                "txns": total, **{word: words[word] for word in sorted(words)},
+                "worth": round(load.worth[rule][1] / load.worth[rule][0], 4) if load.worth[rule][0] else None,
+                **{f"p{name}_ms": round(times.get_value_at_percentile(q) / 1000, 1)
+                   for name, q in (("50", 50), ("99", 99), ("999", 99.9))}}
+        txns = sum(row["txns"] for row in classes.values())
+        completed = sum(row.get("completed", 0) for row in classes.values())
+        due, earned = (sum(pair[at] for pair in load.worth.values()) for at in (0, 1))
+        ticks = [{"second": tick * TICK / SECOND, "due": row.due, "worth": round(row.earned / row.worth, 3) if row.worth else 0,
+                  **dict(row.words)} for tick, row in sorted(load.ticks.items())]
+        begun = self.begin // SECOND
+        figures = {
+            "scenario": plan.name, "seed": plan.seed, "seconds": plan.seconds, "build": str(self.build.name),
+            "txns": txns, "tries": load.tried, "completed": round(completed / max(1, txns), 4),
+            "worth": round(earned / due, 4) if due else None, "classes": classes,
+            "fills": store.counts["fills"], "fills_a_txn": round(store.counts["fills"] / max(1, txns), 4),
+            "most_fills_a_second": max(store.by_second.values(), default=0),
+            "fell": self.world.fell, "bad_clients": dict(load.bad), "lab_lag_ms": self.loop.lag // 1_000_000,
+            "rules": {str(rule): rows for rule, rows in self.checker.violations.items()},
+            "counts": dict(self.checker.counts), "crashed": [node.crashed for node in self.nodes if node.crashed],
+            "recovers_s": recoveries(ticks, plan), "ticks": ticks, "curve": self.curve,
+            "fills_by_second": {str(second - begun): count for second, count in sorted(store.by_second.items())},
+            "routers": [self.of_router(node) for node in self.nodes]}
+        figures["missed"] = missed(figures, plan.expect)
+        figures["passed"] = not figures["missed"]
+        return figures
+
+    def of_router(self, node: Node) -> dict:
+        rows = node.samples
+        if not rows:
+            return {}
+        whole = max(1e-9, rows[-1]["second"] - rows[0]["second"])
+        return {"cpu_share": round(max(0.0, rows[-1]["cpu"] - rows[0]["cpu"]) / whole, 3),
+                "rss_mb": round(max(row["rss_mb"] for row in rows), 1), "files": max(row["files"] for row in rows),
+                "threads": max(row["threads"] for row in rows),
+                "samples": [{name: row[name] for name in ("second", "cpu", "rss_mb", "files", "threads")} for row in rows]}
+
+
+def recoveries(ticks: list[dict], plan) -> list[dict]:
+    """For each fault, how long until the worth is back at a share of what it was before; None: not in this run."""
+    found, starts = [], sorted(fault.at for fault in plan.faults)
+    for fault in plan.faults:
+        until = next((at for at in starts if at > fault.at), plan.seconds)  # what comes then is another fault's
+        before = [row["worth"] for row in ticks if plan.warm <= row["second"] < fault.at] or [1.0]
+        aim = RECOVERED * sum(before) / len(before)
+        after = [row for row in ticks if fault.at <= row["second"] < until]
+        low = [row["second"] for row in after if row["worth"] < aim]
+        last = max(low, default=fault.at - 0.5)
+        whole = any(row["second"] > last for row in after) or not low
+        found.append({"what": fault.what, "at": fault.at,
+                      "took": round(max(0.0, last + 0.5 - fault.at), 1) if whole else None})
+    return found
+
+
+def missed(figures: dict, expect) -> list[str]:
+    """Rules that broke and expectations that were not met, a line each."""
+    lines = [f"rule {rule}: {rows[0]} ({len(rows)} in all)" for rule, rows in figures["rules"].items() if rows]
+    lines += [f"a router {why}" for why in figures["crashed"]]
+    if figures["completed"] < expect.completed:
+        lines.append(f"completed: {figures['completed']:g}, at least {expect.completed:g} expected")
+    if expect.worth and (figures["worth"] or 0) < expect.worth:
+        lines.append(f"worth: {figures['worth']:g}, at least {expect.worth:g} expected")
+    slowest = max((row["p99_ms"] for row in figures["classes"].values()), default=0)
+    if expect.p99_ms and slowest > expect.p99_ms:
+        lines.append(f"p99_ms: {slowest:g}, at most {expect.p99_ms:g} expected")
+    if expect.fills and figures["fills_a_txn"] > expect.fills:
+        lines.append(f"fills: {figures['fills_a_txn']:g} a txn, at most {expect.fills:g} expected")
+    for row in figures["recovers_s"] if expect.recovers_s else ():
+        if row["took"] is None or row["took"] > expect.recovers_s:
+            lines.append(f"recovers_s: {row['what']} at {row['at']:g} s took {row['took']}, "
+                         f"at most {expect.recovers_s:g} expected")
+    return lines
+
+
+def play(plan, build: str | None = None, logs: str | None = None, command: list | None = None,
+         live: Callable | None = None) -> dict:
+    """Figures of one run; `passed` is false where a rule or an expectation broke. Raises LabFailed."""
+    return Play(plan, build, logs, command, live).run()
--- /dev/null
+++ b/fieldspur/lab/servers.py
@@ -0,0 +1,304 @@
+"""Emulated caches, parents, store and notice board on loopback sockets, and what goes wrong with them."""
+
+from __future__ import annotations
+
+import json
+import random
+from typing import Callable
+
+from fieldspur.bench.plain import endpoint
+from fieldspur.lab import catalog, wire
+from fieldspur.lab.check import Checker
+from fieldspur.lab.loop import Conn, Loop
+from fieldspur.lab.model import MS, SECOND, Asked, Server, Store
+
+BACK_AFTER = 300 * MS  # a process that restarts listens again after that
+LINE_EVERY = SECOND  # the board's last number
+GONE_EVERYWHERE = 10 * SECOND  # by then all servers have dropped what a purge names, as the settings say
+
+
+class Front:
+    """The sockets of one server; `model` says what it does."""
+
+    def __init__(self, world: World, model, kind: str):
+        self.world, self.model, self.kind = world, model, kind
+        self.conns: set[Conn] = set()
+        self.open: dict[tuple, Asked] = {}
+        self.garble = 0.0  # share of good answers that arrive spoilt
+        self.random = random.Random(f"{world.plan.seed} {model.name} front")
+        self.listener = world.loop.listen(self.accepted)
+        self.port = self.listener.getsockname()[1]
+
+    def accepted(self, conn: Conn) -> None:
+        self.conns.add(conn)
+        conn.on_data = lambda held: self.data(conn, held)
+        conn.on_close = lambda: self.closed(conn)
+        conn.paused = self.model.silent
+
+    def closed(self, conn: Conn) -> None:
+        self.conns.discard(conn)
+        for spot in [spot for spot in self.open if spot[0] is conn]:
+            self.open.pop(spot).over = True
+
+    def data(self, conn: Conn, held: bytearray) -> None:
+        try:
+            for items in wire.commands(held):
+                if items[0] == b"never_mind":
+                    asked = self.open.pop((conn, items[1].decode()), None)
+                    if asked is not None:
+                        asked.over = True
+                elif items[0] == b"want":
+                    self.want(conn, items[1].decode(), items[2].decode())
+                elif items[0] == b"busy" and not self.model.silent:
+                    conn.write(wire.said(items[1].decode(), "READY", self.meter()))
+        except (wire.Wrong, ValueError, IndexError, KeyError) as wrong:
+            self.world.checker.broke(1, f"{self.model.name} was sent what is not of the protocol: {wrong}")
+            conn.reset()
+
+    def meter(self) -> str:
+        load = self.model.load()
+        return "meter=" + ";".join(f"{name}:{load[name]}" for name in ("active", "cpu", "x0", "x1"))
+
+    def want(self, conn: Conn, ident: str, text: str) -> None:
+        world, now = self.world, self.world.loop.now()
+        fields = dict(pair.split("=", 1) for pair in text.split(","))
+        entry = world.checker.hop(self.model.name, fields.get("miss"), ident, now)
+        rule, obj, part = fields["cls"], fields["item"], int(fields["chunk"])
+        flags = fields.get("f", "").split("+")
+        source = world.models.get(fields["miss"]) if "miss" in fields else None
+
+        def end(word: str, note: str, waited: int, copy) -> None:
+            self.open.pop((conn, ident), None)
+            if entry is not None:
+                entry[1] = word
+            told = [f"tell={note}"] if note else []
+            told += [f"delay={waited / MS:.1f}"] if waited else []
+            data = b""
+            if word == "ACK":
+                issued = copy.issued // MS
+                told += ["entity=%x" % issued, f"issued={issued}"]
+                data = wire.body(obj, part, issued, world.bytes_of(rule, obj, part))
+            told.append(self.meter())
+            data = wire.said(ident, word, ",".join(told), data)
+            if word == "ACK" and self.random.random() < self.garble:
+                data = self.spoil(data)
+            conn.write(data)
+
+        asked = Asked(rule, obj, part, world.kb_of(rule, obj, part), fields.get("nonce"), source,
+                      int(fields.get("prio", 0)), int(fields.get("within", 0)) * MS, "collapse" in flags,
+                      "only-if-cached" not in flags, catalog.kind(rule) == "repeatable", end, ident)
+        self.open[conn, ident] = asked
+        self.model.ask(asked)
+
+    def spoil(self, data: bytes) -> bytes:
+        return self.random.choice((b"*9999999999\r\n" + data, data[:len(data) // 2] + b"\0" * 40, b"noise\r\n" + data,
+                                   data.replace(b"$", b"$9", 1)))
+
+    def down(self) -> None:
+        """The process dies: its connections reset, further ones are refused."""
+        self.model.die()
+        self.world.loop.unlisten(self.listener)
+        for conn in list(self.conns):
+            conn.reset()
+
+    def back(self) -> None:
+        """A new process at the old address: empty, cold."""
+        self.model.started = self.world.loop.now()
+        self.model.begin()
+        self.listener = self.world.loop.listen(self.accepted, self.port)
+
+    def quiet(self, yes: bool, stopped: bool = False) -> None:
+        self.model.silent = yes
+        for conn in self.conns:
+            conn.pause(yes and stopped)
+
+
+class Board:
+    """The notice board: numbered events to all that watch."""
+
+    def __init__(self, loop: Loop, events: list | None = None):
+        self.loop, self.events = loop, events if events is not None else []
+        self.watchers: dict[Conn, int] = {}  # and the last number that each has
+        self.listener = loop.listen(self.accepted)
+        self.port = self.listener.getsockname()[1]
+        self.open = True
+        self.beat()
+
+    def accepted(self, conn: Conn) -> None:
+        def data(held: bytearray) -> None:
+            if b"\n" in held:
+                words = bytes(held).split()
+                held.clear()
+                self.watchers[conn] = int(words[1])
+                self.send(conn)
+
+        conn.on_data, conn.on_close = data, lambda: self.watchers.pop(conn, None)
+
+    def send(self, conn: Conn) -> None:
+        for event in self.events[self.watchers[conn]:]:
+            conn.write(json.dumps(event).encode() + b"\n")
+        self.watchers[conn] = len(self.events)
+
+    def tell(self, **event) -> None:
+        self.events.append({"rev": len(self.events) + 1, **event})
+        for conn in list(self.watchers):
+            self.send(conn)
+
+    def beat(self) -> None:
+        if self.open:
+            for conn in list(self.watchers):
+                conn.write(b"%d\n" % len(self.events))
+            self.loop.later(LINE_EVERY, self.beat)
+
+    def break_off(self) -> None:
+        for conn in list(self.watchers):
+            conn.out += b'{"rev":%d,"po' % (len(self.events) + 1)
+            conn.end()
+
+    def close(self) -> None:
+        self.open = False
+        self.loop.unlisten(self.listener)
+        for conn in list(self.watchers):
+            conn.close()
+
+
+class World:
+    """All that stands behind the routers, and the faults that a scenario plans."""
+
+    def __init__(self, loop: Loop, plan, checker: Checker):
+        self.loop, self.plan, self.checker = loop, plan, checker
+        rows = plan.servers
+        self.store = Store(loop, rows.store_rating, int(rows.store_ms * MS))
+        self.store.on_effect = checker.effect
+        self.models: dict[str, Server | Store] = {"store": self.store}
+        self.fronts: dict[str, Front] = {}
+        self.byte_rate = {row.rule: row.bytes_a_kb for row in plan.load.classes}
+        self.middle = {row.rule: row.kb for row in plan.load.classes}
+        self.random = random.Random(f"{plan.seed} faults")
+        for kind, count, rating, mb in (("std", rows.caches, rows.rating, rows.cache_mb),
+                                        ("parent", rows.parents, rows.parent_rating, rows.parent_mb)):
+            for n in range(count):
+                name = f"{'cache' if kind == 'std' else 'parent'}-{n}"
+                model = Server(loop, name, kind, rating, mb * 1024, catalog.KB_PER_S, rows, seed=plan.seed)
+                model.store, model.on_offered, model.on_fall = self.store, self.offered, self.fall
+                self.models[name] = model
+                self.fronts[name] = Front(self, model, kind)
+        self.store_listener = loop.listen(lambda conn: None)
+        self.fell: list[str] = []
+        self.board = Board(loop, [{"rev": 1, "pool": {"index": 1, "snapshot": True, "endpoints": [
+            self.row(name) for name in self.models]}}])
+        self.others: dict[str, Callable] = {}  # faults that are not of the servers, by what happens
+
+    def row(self, name: str, status: str = "up") -> dict:
+        model = self.models[name]
+        if name == "store":
+            return endpoint("store", self.store_listener.getsockname()[1], "origin")
+        return endpoint(name, self.fronts[name].port, model.kind, status=status, weight=model.rating,
+                        since_ms=model.started // MS)
+
+    def kb_of(self, rule: str, obj: str, part: int) -> float:
+        return round(self.middle[rule] * catalog.spread(obj, part), 1)
+
+    def bytes_of(self, rule: str, obj: str, part: int) -> int:
+        return min(230_000, int(self.kb_of(rule, obj, part) * self.byte_rate[rule]))
+
+    def offered(self, server: Server, work: int) -> None:
+        self.checker.asked_of_cold(server.name, server.able(), work, self.loop.now())
+
+    def fall(self, server: Server) -> None:
+        self.fell.append(server.name)
+        self.restart(server.name)
+
+    def tell(self, names: list[str], status: str) -> None:
+        now = self.loop.now()
+        for name in names:
+            self.checker.told(name, "up" if status == "up" else status, now)
+        self.board.tell(pool={"index": 1, "snapshot": False, "endpoints": [self.row(name, status) for name in names]})
+
+    def restart(self, name: str) -> None:
+        front = self.fronts[name]
+        if not front.model.up:
+            return
+
+        def back() -> None:
+            front.back()
+            self.tell([name], "up")
+
+        front.down()
+        self.loop.later(BACK_AFTER, back)
+
+    def purge(self, group: int) -> None:
+        """By the store's word copies given out before now will not do."""
+        now = self.loop.now()
+        groups = range(256) if group < 0 else (group,)
+        for one in groups:
+            self.board.tell(flush={"collection": one, "ms": now // MS})
+        self.checker.purged(None, group, now // MS * MS, now)
+        for front in self.fronts.values():  # to the servers themselves its word comes later, to each at its own time
+            self.loop.later(int(self.random.uniform(0.2, 0.9) * GONE_EVERYWHERE),
+                            lambda model=front.model: model.purge(group, now))
+
+    # Faults.
+
+    def chosen(self, fault) -> list[str]:
+        if fault.who in self.fronts:
+            return [fault.who]
+        kind = {"caches": "std", "parents": "parent"}.get(fault.who, "")
+        names = [name for name, front in self.fronts.items() if front.kind == kind]
+        return sorted(self.random.sample(names, max(1, round(fault.share * len(names))))) if names else []
+
+    def begin(self, fault) -> None:
+        """The fault happens; what lasts is undone by a timer."""
+        names, span = self.chosen(fault), int(fault.lasts * SECOND)
+        fronts = [self.fronts[name] for name in names]
+        undo = None
+        if fault.what == "die":
+            for front in fronts:
+                front.down()
+            undo = lambda: [front.back() or self.tell([front.model.name], "up") for front in fronts]
+        elif fault.what in ("silent", "stop"):
+            for front in fronts:
+                front.quiet(True, fault.what == "stop")
+            undo = lambda: [front.quiet(False) for front in fronts]
+        elif fault.what == "slow":
+            for front in fronts:
+                front.model.link.change(slow=fault.times)
+            undo = lambda: [front.model.link.change(slow=1.0) for front in fronts]
+        elif fault.what == "late":
+            for front in fronts:
+                front.model.late = int(fault.times * MS)
+            undo = lambda: [setattr(front.model, "late", 0) for front in fronts]
+        elif fault.what == "errors":
+            for front in fronts:
+                front.model.errors = min(1.0, fault.times / 100)
+            undo = lambda: [setattr(front.model, "errors", 0.0) for front in fronts]
+        elif fault.what == "garble":
+            for front in fronts:
+                front.garble = min(1.0, fault.times / 100)
+            undo = lambda: [setattr(front, "garble", 0.0) for front in fronts]
+        elif fault.what == "reset":
+            self.resets(fronts, self.loop.now() + span)
+        elif fault.what == "drain":
+            self.tell(names, "draining")
+            undo = lambda: self.tell(names, "up")
+        elif fault.what == "restart":
+            for name in names:
+                self.restart(name)
+        elif fault.what == "purge":
+            self.purge(fault.group)
+        elif fault.what == "store_slow":
+            self.store.link.change(slow=fault.times)
+            undo = lambda: self.store.link.change(slow=1.0)
+        elif fault.what == "board_break":
+            self.board.break_off()
+        else:
+            self.others[fault.what](fault)
+        if undo is not None and span:
+            self.loop.later(span, undo)
+
+    def resets(self, fronts: list[Front], until: int) -> None:
+        for front in fronts:
+            for conn in list(front.conns):
+                conn.reset()
+        if self.loop.now() < until:
+            self.loop.later(200 * MS, lambda: self.resets(fronts, until))
--- a/fieldspur/net/book.py
+++ b/fieldspur/net/book.py
@@ -58,7 +58,8 @@
             self.bytes += size
 
     def take(self, txn: Txn) -> None:
-        holds(txn.ident not in self.open, "a new number for each txn", txn=txn.ident)
+        if txn.ident in self.open:
+            holds(False, "a new number for each txn", txn=txn.ident)
         self.open[txn.ident] = txn
         with self.lock:
             self.names.add(txn.name)
--- a/fieldspur/net/frames.py
+++ b/fieldspur/net/frames.py
@@ -156,18 +156,18 @@
     def filled(self, size: int):
         """So many bytes came into the window's room."""
         window = self.window
-        window.filled(size)
-        while len(window) >= HEAD.size:
+        window.end += size
+        while window.end - window.start >= HEAD.size:
             at = window.start
             length, kind, stream = HEAD.unpack_from(window.buf, at)
             if not LEAST <= length <= MOST:
                 raise BadFrame("length out of bounds")
             if kind not in (REQUEST, GONE, ASK_READY):
                 raise BadFrame("type not for a router")
-            if len(window) < 4 + length:
+            if window.end - at < 4 + length:
                 window.whole = 4 + length
                 return
-            window.took(4 + length)
+            window.start, window.whole = at + 4 + length, 0
             if kind == REQUEST:
                 found = usual(stream, window.buf, at + HEAD.size, at + 4 + length)
                 yield found or request(stream, bytes(window.view[at + HEAD.size:at + 4 + length]))
--- a/fieldspur/net/now.py
+++ b/fieldspur/net/now.py
@@ -37,7 +37,8 @@
 def write_now(sock: socket.socket, data: tuple | list) -> list | tuple:
     """Writes buffers as far as the socket takes them at once, long ones without joining them; what is left of them."""
     if len(data) == 1 and type(data[0]) is bytes:
-        sent = send_now(sock, data[0])
+        if raw is None or (sent := raw(sock.fileno(), data[0], len(data[0]), FLAGS)) < 0:
+            sent = send_now(sock, data[0])
         if sent == len(data[0]):
             return ()
     else:
--- a/fieldspur/net/relay.py
+++ b/fieldspur/net/relay.py
@@ -140,19 +140,16 @@
     def __init__(self, most_held: int):
         self.lock = threading.Lock()
         self.held, self.most_held, self.too_much = 0, most_held, 0
-        self.unsent = 0  # answers not yet handed to their connection
-
-    def owe(self, more: int) -> None:
-        """Called before a txn is taken out of the book, and with -1 once its answer is on its way."""
-        with self.lock:
-            self.unsent += more
+        # Answers not yet handed to their connection, by txn and hop (one thread each): added before the txn is taken out
+        # of the book, discarded once the answer is on its way.
+        self.owing: set[tuple[int, int]] = set()
 
     def hold(self, size: int) -> None:
         with self.lock:
             self.held += size
 
     def done(self) -> bool:
-        return not self.held and not self.unsent
+        return not self.held and not self.owing
 
     def answer(self, txn: Txn, answer: Answer) -> None:
         if not txn.outlet.answer(txn.stream, answer):
--- a/fieldspur/net/resp.py
+++ b/fieldspur/net/resp.py
@@ -59,6 +59,13 @@
     return b"".join(parts)
 
 
+def how(w: Want) -> str:
+    if w.join and w.fetch and not w.renew:
+        return "collapse"  # the ordinary one
+    return "+".join(word for word, on in (("collapse", w.join), ("only-if-cached", not w.fetch), ("refresh", w.renew))
+                    if on)
+
+
 def want(w: Want) -> tuple:
     """Buffers in their order; a body goes apart, as it is."""
     fields = f"cls={w.rule},item={w.obj},chunk={w.part},limit={w.limit_ms}"
@@ -70,9 +77,8 @@
         fields += f",prio={w.rank}"
     if w.within_ms:
         fields += f",within={w.within_ms}"
-    how = [word for word, on in (("collapse", w.join), ("only-if-cached", not w.fetch), ("refresh", w.renew)) if on]
-    if how:
-        fields += ",f=" + "+".join(how)
+    if w.join or w.renew or not w.fetch:
+        fields += ",f=" + how(w)
     if w.tag:
         fields += f",mine={w.tag}"
     name, said = w.txn.encode(), fields.encode()
@@ -179,10 +185,10 @@
     def filled(self, size: int):
         """So many bytes came into the window's room. Yields replies, whose bodies lie in the window."""
         window = self.window
-        window.filled(size)
+        window.end += size
         while window.start < window.end:
             if not self.due:
-                if window.whole > len(window):
+                if window.whole > window.end - window.start:
                     return  # the rest of an answer whose length is known
                 found = USUAL.match(window.buf, window.start, window.end)
                 if found is not None:
@@ -194,7 +200,7 @@
                             window.whole = end + 2 - window.start
                             return
                         if window.buf[end] == 13 and window.buf[end + 1] == 10:
-                            window.took(end + 2 - window.start)
+                            window.start, window.whole = end + 2, 0
                             yield reply_of(ident.decode(), word.decode(), text.decode(), window.view[found.end():end], 4)
                             continue
                 found = self.line(42)
@@ -221,5 +227,5 @@
                 self.at, self.due = end + 2, self.due - 1
             base, size = window.start, self.at
             items, self.items, self.at = self.items, [], 0
-            window.took(size)
+            window.start, window.whole = base + size, 0
             yield reply([window.view[base + item.start:base + item.stop] for item in items])
--- a/fieldspur/net/route.py
+++ b/fieldspur/net/route.py
@@ -20,9 +20,11 @@
 log = logging.getLogger("fieldspur.route")
 FADE, FADE_STEP = 1_000 * MS, 1 * MS  # in which most of a lag is forgotten; how often that is worked out
 ALARM, PROBE = -1, 0  # in place of a txn's number
+BY_ROUTER = -1  # in place of a hop's number: its own answers
 MOST_QUEUED = 512  # events; beyond, new txns are rejected at once
 AT_ONCE, MOST_FOR_OTHERS = 16, 64  # events under one lock; such turns that a thread takes on end
-LOOK_AGAIN, LONGEST = 250 * MS, 3600.0  # at an empty wheel; seconds that the timers' thread sleeps at most
+LOOK_AGAIN = 250 * MS  # at an empty wheel
+LONGEST, WAIT_TURN = 3600.0, 0.0005  # seconds that the timers' thread sleeps at most; that it leaves to who is at it
 
 
 class Mine(threading.local):
@@ -62,47 +64,54 @@
     def full(self) -> bool:
         return len(self.queue) >= MOST_QUEUED
 
-    def work(self, most: int = MOST_FOR_OTHERS) -> None:
-        mine = self.mine
+    def work(self, most: int = MOST_FOR_OTHERS) -> bool:
+        """Handle what waits unless another thread is at it: false, then. What an event leads to on sockets goes out
+        after a few of them, once the lock is released."""
+        mine, queue, lock = self.mine, self.queue, self.lock
         mine.busy = True  # what is posted below, by what it acts on, is handled by this loop
         try:
-            while (self.queue or time.time_ns() >= self.soonest) and self.lock.acquire(False):
+            while lock.acquire(False):
                 try:
-                    self.some()
-                    done, self.outbox = self.outbox, []
+                    if self.caller is not None:
+                        holds(False, "one caller in the Router at a time")
+                    self.caller = me = threading.get_ident()
+                    left = AT_ONCE
+                    while left:
+                        self.clock = now = time.time_ns()
+                        if now >= self.soonest:
+                            self.tick()
+                        if not queue:
+                            break
+                        what, about, posted = queue.popleft()
+                        late = now - posted
+                        if late > self.lag or late > self.behind or now - self.faded >= FADE_STEP:
+                            self.waited(late)
+                        what(*about)
+                        left -= 1
+                    if self.caller != me:
+                        holds(False, "one caller in the Router at a time")
+                    self.caller = None
+                    done = self.outbox
+                    if done:
+                        self.outbox = []
                 finally:
-                    self.lock.release()
+                    lock.release()
                 for lane, txn, answer in done:
                     if lane is not None:
                         lane.pump()
                     else:
                         self.relay.answer(txn, answer)
-                        self.relay.owe(-1)
+                        self.relay.owing.discard((txn.ident, BY_ROUTER))
+                if not queue:
+                    return True
                 most -= 1
-                if not most and self.queue:
-                    return self.ring()  # guards a client's thread against working for all others for long
+                if not most:
+                    self.ring()  # guards a client's thread against working for all others for long
+                    return True
+            return False
         finally:
             mine.busy = False
 
-    def some(self) -> None:
-        """Handle what waits, up to a bound, so that what it leads to goes out soon. The lock is held."""
-        if self.caller is not None:
-            holds(False, "one caller in the Router at a time")
-        self.caller = me = threading.get_ident()
-        for _ in range(AT_ONCE):
-            if time.time_ns() >= self.soonest:
-                self.tick()
-            try:
-                what, about, posted = self.queue.popleft()
-            except IndexError:
-                break
-            self.clock = time.time_ns()
-            self.waited(self.clock - posted)
-            what(*about)
-        if self.caller != me:
-            holds(False, "one caller in the Router at a time")
-        self.caller = None
-
     def tick(self) -> None:
         """All timers that are due, by exact time; cuts first, for each is a final answer's last moment."""
         self.clock = now = time.time_ns()
@@ -127,7 +136,8 @@
             if left > 0 and not self.queue:
                 self.bell.acquire(timeout=min(left / 1e9, LONGEST))
             self.asleep = False
-            self.work(0)
+            if not self.work(0):
+                time.sleep(WAIT_TURN)  # who is at it looks at the timers too
 
     def ring(self) -> None:
         try:
@@ -143,9 +153,9 @@
             self.faded = self.clock
             self.behind = max(span, self.behind - self.behind * min(gone, FADE) // FADE)
 
-    def at(self, when: int, ident: int, number: int) -> None:
+    def at(self, when: int, key: tuple) -> None:
         """A hop's cut, or an alarm of the Router's."""
-        self.wheel.add(when, (ident, number))
+        self.wheel.add(when, key)
         self.used = True
         if when < self.soonest:
             self.soonest = when
@@ -236,8 +246,9 @@
         return mine
 
     def go(self, hop: Hop) -> None:
-        self.hops[hop.ident, hop.number] = hop
-        self.at(hop.cut_at, hop.ident, hop.number)
+        key = hop.ident, hop.number
+        self.hops[key] = hop
+        self.at(hop.cut_at, key)
         lane = self.sender.hop(hop)
         if lane is not None:
             self.outbox.append((lane, None, None))
@@ -249,16 +260,16 @@
         self.answer(ident, Answer("aborted"))
 
     def answer(self, ident: int, answer: Answer) -> None:
-        self.relay.owe(1)
+        self.relay.owing.add((ident, BY_ROUTER))
         txn = self.book.settle(ident, answer)
         if txn is not None:
             self.outbox.append((None, txn, answer))
         else:
-            self.relay.owe(-1)
+            self.relay.owing.discard((ident, BY_ROUTER))
 
     def wake(self, label, at) -> None:
         self.wakes[label] = at
-        self.at(at, ALARM, label)
+        self.at(at, (ALARM, label))
 
     def forget(self, label) -> None:
         self.wheel.cancel(self.wakes.pop(label, 0), (ALARM, label))
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -74,10 +74,10 @@
         if len(self.used) > MOST_USED:
             self.older, self.used = self.used, {}
 
-    def put(self, hop: Hop) -> bool:
-        """The hop waits here for the next `pump`; false where the connection is ending."""
+    def put(self, hop: Hop, sure: bool = True) -> bool:
+        """The hop waits here for the next `pump`; false where the connection is ending, or, not `sure`, can't take it."""
         with self.lock:
-            if self.closed:
+            if self.closed or not sure and not self.takes(hop):
                 return False
             hop.lane = self
             self.open[hop.name] = hop
@@ -270,6 +270,11 @@
 
     def hop(self, hop: Hop) -> Lane | None:
         """The hop waits in the lane given back, to be pumped; its end is reported later, whatever happens."""
+        lanes = self.lanes.get(hop.server)
+        if lanes is not None and len(lanes) == 1 and not self.broke and hop.server in self.servers:
+            lane = lanes[0]  # the ordinary case of what follows
+            if lane.put(hop, sure=False):
+                return lane
         while True:
             lane = self.lane_for(hop)
             if lane is None:
@@ -282,8 +287,6 @@
             return None
         with self.lock:
             lanes = self.lanes.setdefault(hop.server, [])
-            if len(lanes) == 1 and not self.broke and lanes[0].takes(hop):
-                return lanes[0]  # the ordinary case of what follows
             free = [lane for lane in lanes if lane.takes(hop)]
             best = min(free, key=lambda lane: len(lane.open)) if free else None
             breaking = time.time_ns() - self.broke < self.site.idle_close
@@ -355,13 +358,15 @@
         if not self.claim(hop):
             return
         if hop.want is not None and reply.result == "completed":
-            if not holds(not reply.unchanged or hop.want.tag, "unchanged only where the client holds a copy"):
+            if reply.unchanged and not hop.want.tag:
+                holds(False, "unchanged only where the client holds a copy")
                 return self.report(hop, "error")
             answer = Answer("completed", 0, reply.unchanged, reply.body)
-            self.relay.owe(1)
+            owed = hop.ident, hop.number
+            self.relay.owing.add(owed)
             txn = self.book.settle(hop.ident, answer)
             if txn is not None:
                 self.relay.answer(txn, answer)
-            self.relay.owe(-1)
+            self.relay.owing.discard(owed)
         reply.body = b""  # it lay in the connection's buffer
         self.report(hop, reply.result, reply, at)
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -68,7 +68,9 @@
                 try:
                     for value in decoder.filled(size):
                         self.took(value, now)
-                    self.hold(len(decoder.window))
+                    held = decoder.window.end - decoder.window.start
+                    if held or self.held:
+                        self.hold(held)
                 except frames.BadFrame as bad:
                     self.fail(str(bad))
         except OSError:
--- a/fieldspur/net/window.py
+++ b/fieldspur/net/window.py
@@ -6,7 +6,7 @@
 class Window:
     """Bytes read and not yet taken are `buf[start:end]`.
 
-    The reader reads into `room()`, tells `filled(n)`, and moves `start` past what it took. Where it knows how long the
+    The reader reads into `room()`, moves `end` by what came and `start` past what it took. Where it knows how long the
     message at `start` is, it sets `whole`, and no message of a known length is moved inside the buffer: reads stop in
     the buffer's first half, and only the rest of a message that began there goes beyond."""
 
@@ -47,10 +47,3 @@
             buf[:held] = self.view[self.start:self.end]
             self.buf, self.view = buf, memoryview(buf)
         self.start, self.end = 0, held
-
-    def filled(self, size: int) -> None:
-        self.end += size
-
-    def took(self, size: int) -> None:
-        self.start += size
-        self.whole = 0
--- /dev/null
+++ b/fieldspur/operators.py
@@ -0,0 +1,132 @@
+"""The operators' own file: what they may set, its defaults, bounds and schema. Absent or empty, all stays as it is.
+
+The classes are plain, so that a router without such a file imports nothing for it; with one, a library reads it."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field, fields, is_dataclass
+from typing import Literal
+
+SCHEMA = "https://json-schema.org/draft/2020-12/schema"
+
+
+class BadFile(Exception):
+    """The file can't be used; the text begins with the path of the faulty key."""
+
+
+def key(default, least, most, text: str):
+    """A figure with its bounds, both allowed, and what it is."""
+    return field(default=default, metadata={"minimum": least, "maximum": most, "description": text})
+
+
+def part(kind, text: str):
+    return field(default_factory=kind, metadata={"description": text})
+
+
+@dataclass(frozen=True)
+class Log:
+    level: Literal["debug", "info", "warning", "error"] = field(default="info", metadata={
+        "description": "lowest level of lines that are written; debug has one line a hop"})
+    lines_a_second: int = key(20, 1, 10_000, "lines of one event in a second; what is left out is counted")
+
+
+@dataclass(frozen=True)
+class Counts:
+    every_s: float = key(5.0, 0.1, 3600.0, "seconds between two lines of counts")
+
+
+@dataclass(frozen=True)
+class Memory:
+    """Shares of `limits.memory_mb`; what is left is the program's, its threads' and the servers' connections'."""
+
+    answers: float = key(0.25, 0.01, 0.5, "for answers that clients have not yet taken")
+    bodies: float = key(0.125, 0.01, 0.5, "for bodies of open txns")
+    frames: float = key(0.125, 0.01, 0.5, "for frames that clients have begun and not ended")
+
+
+@dataclass(frozen=True)
+class Interpreter:
+    switch_ms: float = key(1.0, 0.1, 100.0, "how long a busy thread keeps the interpreter from those that wait")
+    collect_after: int = key(10_000, 700, 1_000_000, "objects made between two looks for cycles of garbage")
+
+
+@dataclass(frozen=True)
+class Operators:
+    log: Log = part(Log, "log lines on standard error")
+    counts: Counts = part(Counts, "the line of counts")
+    memory: Memory = part(Memory, "how the router's memory is shared out")
+    interpreter: Interpreter = part(Interpreter, "of Python itself")
+
+
+def check(value, path: str = "") -> None:
+    """Bounds of every figure, and what must fit together."""
+    for row in fields(value):
+        at, here = f"{path}.{row.name}" if path else row.name, getattr(value, row.name)
+        if is_dataclass(here):
+            check(here, at)
+        elif "minimum" in row.metadata and not row.metadata["minimum"] <= here <= row.metadata["maximum"]:
+            raise BadFile(f"{at}: {here:g} is not within {row.metadata['minimum']:g} to {row.metadata['maximum']:g}")
+    if isinstance(value, Memory) and value.answers + value.bodies + value.frames > 0.75:
+        raise BadFile(f"{path}: answers, bodies and frames take more than 0.75 together")
+
+
+def parse(data: bytes) -> Operators:
+    """The checked values of a file's bytes; an empty file sets nothing. Raises BadFile."""
+    import msgspec  # 3 MB, only where there is such a file
+
+    if not data.strip():
+        return Operators()
+    try:
+        value = msgspec.json.decode(data, type=dict)
+        known(value, Operators(), "")
+        found = msgspec.convert(value, Operators, strict=True)
+    except msgspec.ValidationError as wrong:
+        said, _, at = str(wrong).partition(" - at `$")
+        raise BadFile(f"{at.strip('.`') or 'the file'}: {said}") from None
+    except msgspec.DecodeError as wrong:
+        raise BadFile(f"the file: not JSON ({wrong})") from None
+    check(found)
+    return found
+
+
+def known(value: dict, like, path: str) -> None:
+    """A key that nothing reads is a mistake: the reader ignores it, so it is named here."""
+    names = {row.name for row in fields(like)}
+    for name, inner in value.items():
+        at = f"{path}.{name}" if path else name
+        if name not in names:
+            raise BadFile(f"{at}: no such key; there are {', '.join(sorted(names))}")
+        if is_dataclass(getattr(like, name)) and isinstance(inner, dict):
+            known(inner, getattr(like, name), at)
+
+
+def read(path: str) -> Operators:
+    try:
+        with open(path, "rb") as file:
+            return parse(file.read())
+    except OSError as wrong:
+        raise BadFile(f"{path}: {wrong.strerror}") from None
+
+
+def schema() -> dict:
+    """The published schema of the file."""
+    import msgspec
+
+    def fill(kind, into: dict) -> None:
+        into["additionalProperties"] = False
+        for row in fields(kind):
+            found = into["properties"][row.name]
+            ref = found.get("$ref") or next((one["$ref"] for one in found.get("anyOf", ()) if "$ref" in one), "")
+            found.update(row.metadata)
+            if ref:
+                fill(row.default_factory, parts[ref.rpartition("/")[2]])
+
+    made = msgspec.json.schema(Operators)
+    parts = made["$defs"]
+    fill(Operators, parts["Operators"])
+    return {"$schema": SCHEMA, "title": "fieldspur: the operators' file", **made}
+
+
+def schema_text() -> str:
+    return json.dumps(schema(), indent=2) + "\n"
