--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -1,4 +1,4 @@
-"""One real router: `python -m fieldspur`, told by LB_NAME, LB_LISTEN and LB_CONFIG."""
+"""One real router: `python -m fieldspur`, told by LB_NAME, LB_LISTEN, LB_CONFIG and LB_OPERATORS."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 import sys
 import threading
 import time
+from dataclasses import replace
 
 from fieldspur.net import holds, logs
 from fieldspur.net.admit import Admit
@@ -18,14 +19,13 @@
 from fieldspur.net.route import Route
 from fieldspur.net.send import Send
 from fieldspur.net.takein import TakeIn
+from fieldspur.operators import BadFile, Operators, read
 from fieldspur.site import MS, BadSite, Node, differences, read_node
 
 log = logging.getLogger("fieldspur.main")
 STACK, DEEP_STACK = 128 << 10, 512 << 10  # DEEP: of what parses JSON, whose nesting the sender chooses
-SWITCH = 0.001  # seconds that a busy thread keeps the interpreter from those that wait
-GARBAGE = 10_000, 50, 100  # looks for cycles are rare: a txn leaves none behind, and a look holds up all threads
+GARBAGE = 50, 100  # looks for cycles are rare: a txn leaves none behind, and a look holds up all threads
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)  # the last one: the file is read again
-COUNTS_EVERY = 5.0  # seconds
 LANE_MEMORY = 2 << 20  # bytes of the limit for each connection to a server
 PARTING = 0.2  # seconds in which clients may close by themselves
 STILL_COMING = 0.7  # seconds after SIGTERM for which clients still come, by the protocol
@@ -41,9 +41,10 @@
 class Service:
     """The stages, wired up, and their threads."""
 
-    def __init__(self, node: Node):
-        site, self.node = node.site, node
-        self.relay = Relay(most_held=node.memory // 4)
+    def __init__(self, node: Node, wishes: Operators = Operators()):
+        site, self.node, self.wishes = node.site, node, wishes
+        share = wishes.memory
+        self.relay = Relay(most_held=int(node.memory * share.answers))
         self.book = Book()
         # Descriptors: half for clients, who hold a third at most, a quarter for servers, the rest in reserve. A
         # connection to a server takes up to 0.6 MB, as measured: together they get under a third of the memory.
@@ -51,8 +52,9 @@
         self.route = Route(site, node.seed, self.book, self.relay, self.send)
         self.board = Board(node.board, self.route, node.seed)
         self.board.begin(node.known, node.known_to)
-        self.takein = TakeIn(node.listen, node.sockets // 2, node.memory // 8, site.idle_close,
-                             Admit(site, self.book, self.route, node.memory // 8), self.book, self.route, self.relay)
+        self.takein = TakeIn(node.listen, node.sockets // 2, int(node.memory * share.frames), site.idle_close,
+                             Admit(site, self.book, self.route, int(node.memory * share.bodies)), self.book, self.route,
+                             self.relay)
         self.pause = self.pause_began = 0.0
         self.longest = max((rule.limit for rule in site.rules), default=0) / 1e9
 
@@ -72,7 +74,7 @@
 
     def tell(self) -> None:
         while True:
-            time.sleep(COUNTS_EVERY)
+            time.sleep(self.wishes.counts.every_s)
             self.counts("counts")
 
     def counts(self, event: str) -> None:
@@ -85,13 +87,16 @@
             "broken": sum(holds.broken.values())}})
 
     def reload(self) -> None:
-        """Read the file again. One that can't be used changes nothing, nor does what a running router keeps."""
+        """Read the files again. One that can't be used changes nothing, nor does what a running router keeps."""
         try:
-            node = read_node(os.environ)
-        except BadSite as bad:
+            node, wishes = read_node(os.environ), wishes_of(os.environ)
+        except (BadSite, BadFile) as bad:
             return log.error("kept", extra={"kv": {"why": str(bad)}})
         self.board.move(node.board, node.known)
         kept = differences(self.node, node)
+        kept += [key for key in ("memory", "interpreter") if getattr(wishes, key) != getattr(self.wishes, key)]
+        self.wishes = replace(self.wishes, log=wishes.log, counts=wishes.counts)
+        logs.begin(level_of(node, wishes), wishes.log.lines_a_second)
         log.log(logging.WARNING if kept else logging.INFO, "reloaded", extra={"kv": {
             "board": "%s:%d" % node.board, "unchanged": ",".join(kept) or "-"}})
 
@@ -109,23 +114,32 @@
             time.sleep(0.01)
 
 
+def wishes_of(environ) -> Operators:
+    """What the operators' file sets; without one, all as it is by default."""
+    return read(environ["LB_OPERATORS"]) if environ.get("LB_OPERATORS") else Operators()
+
+
+def level_of(node: Node, wishes: Operators) -> int:
+    return logging.DEBUG if node.debug else getattr(logging, wishes.log.level.upper())
+
+
 def main() -> int:
     threading.stack_size(STACK)
-    sys.setswitchinterval(SWITCH)
     threading.excepthook = fail
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # in all threads; the main one waits for them
     try:
-        node = read_node(os.environ)
-        logs.begin(logging.DEBUG if node.debug else logging.INFO)
-        service = Service(node)
-    except BadSite as bad:
+        node, wishes = read_node(os.environ), wishes_of(os.environ)
+        logs.begin(level_of(node, wishes), wishes.log.lines_a_second)
+        sys.setswitchinterval(wishes.interpreter.switch_ms / 1000)
+        service = Service(node, wishes)
+    except (BadSite, BadFile) as bad:
         print(f"fieldspur: {bad}", file=sys.stderr)
         return 2
     except OSError as wrong:
         print(f"fieldspur: listen: {wrong.strerror}", file=sys.stderr)
         return 1
     gc.freeze()
-    gc.set_threshold(*GARBAGE)
+    gc.set_threshold(wishes.interpreter.collect_after, *GARBAGE)
     gc.callbacks.append(service.pauses)
     service.start()
     log.info("ready", extra={"kv": {"name": node.name, "listen": "%s:%d" % node.listen}})
--- a/fieldspur/bench/count.py
+++ b/fieldspur/bench/count.py
@@ -188,7 +188,8 @@
             counter.txn()
         found = {**counter.calls(txns), **counter.memory(txns)}
         if rule == "media":
-            found["copies"] = round(counter.copies(), 2)
+            found["copies_to_a_quick_client"] = round(found["peak_bytes"] / SIZES[rule], 2)
+            found["copies_to_a_slow_client"] = round(counter.copies(), 2)
         return found
     finally:
         counter.close()
--- a/fieldspur/cli.py
+++ b/fieldspur/cli.py
@@ -152,18 +152,22 @@
 @click.option("--report", type=click.Path(file_okay=False), help="Write an HTML report with plots into this folder.")
 @click.option("--logs", type=click.Path(file_okay=False), help="Keep the routers' logs in this folder.")
 @click.option("--top", is_flag=True, help="Show a live table meanwhile.")
-def lab_run(name, seed, seconds, build, as_json, report, logs, top) -> None:
+@click.option("--simulated", is_flag=True, help="In simulated time, without sockets, at the scenario's own size.")
+def lab_run(name, seed, seconds, build, as_json, report, logs, top, simulated) -> None:
     """Play a scenario, a name of `lab list` or a JSON file. Code 1 where a rule or an expectation broke."""
     from fieldspur.lab import far, play, report as reporting
+    from fieldspur.operators import BadFile
 
     plan = scenario_of(name, seed, seconds)
     try:
-        if plan.far is not None:
+        if plan.far is not None or simulated:
             found = far.play(plan)
         else:
             found = play.play(plan, build=build, logs=logs, live=reporting.Live() if top else None)
     except play.LabFailed as wrong:
         raise click.ClickException(str(wrong)) from None
+    except BadFile as wrong:
+        raise Bad(f"{name}: {wrong}") from None
     if report:
         reporting.write(Path(report), [found])
     click.echo(json.dumps(found) if as_json else reporting.text(found))
@@ -222,3 +226,7 @@
              "zsh": 'eval "$(_FIELDSPUR_COMPLETE=zsh_source fieldspur)"',
              "fish": "_FIELDSPUR_COMPLETE=fish_source fieldspur | source"}
     click.echo(lines[shell])
+
+
+if __name__ == "__main__":
+    main()
--- a/fieldspur/lab/check.py
+++ b/fieldspur/lab/check.py
@@ -42,6 +42,7 @@
         self.fall_multiple, self.span, self.routers = fall_multiple, span, routers
         self.tries: dict[tuple, Try] = {}  # open ones, by connection and stream
         self.by_ident: dict[str, Try] = {}
+        self.order: deque = deque()  # (time limit, id), as sent
         self.states: dict[str, tuple[str, int]] = {}  # state of each server, and since when it is told
         self.purges: list[tuple] = []  # (object, group, made, told)
         self.cold: dict[str, deque] = {}  # (when, work) of the last second at each cold server
@@ -64,6 +65,7 @@
     def sent(self, conn, stream: int, one: Try) -> None:
         self.tries[conn, stream] = one
         self.by_ident[one.ident] = one
+        self.order.append((one.limit_at, one.ident))
         self.kinds[one.key or one.ident] = one.kind
         self.counts["tries"] += 1
 
@@ -94,6 +96,11 @@
                     break
         return one
 
+    def forget(self, before: int) -> None:
+        """Tries whose time limit is so long over are not looked for any more; a long run's memory stays flat."""
+        while self.order and self.order[0][0] < before:
+            self.by_ident.pop(self.order.popleft()[1], None)
+
     def withdrew(self, conn, stream: int, at: int) -> None:
         one = self.tries.get((conn, stream))
         if one is not None:
--- a/fieldspur/net/logs.py
+++ b/fieldspur/net/logs.py
@@ -6,7 +6,7 @@
 import logging
 import sys
 
-MOST_A_SECOND = 20  # lines of one event
+MOST_A_SECOND = 20  # lines of one event, where nobody says otherwise
 
 
 def word(value) -> str:
@@ -30,8 +30,9 @@
 class Flood(logging.Filter):
     """Lets through so many lines of one event in a second; the next one after tells how many were left out."""
 
-    def __init__(self):
+    def __init__(self, most: int = MOST_A_SECOND):
         super().__init__()
+        self.most = most
         self.seen: dict[tuple, list[int]] = {}  # by part and event: the second, lines in it, lines left out
 
     def filter(self, record: logging.LogRecord) -> bool:
@@ -41,7 +42,7 @@
         if seen[0] != int(record.created):
             seen[:2] = int(record.created), 0
         seen[1] += 1
-        if seen[1] > MOST_A_SECOND:
+        if seen[1] > self.most:
             seen[2] += 1
             return False
         if seen[2]:
@@ -50,10 +51,10 @@
         return True
 
 
-def begin(level: int = logging.INFO) -> None:
+def begin(level: int = logging.INFO, most: int = MOST_A_SECOND) -> None:
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValue())
-    handler.addFilter(Flood())
+    handler.addFilter(Flood(most))
     root = logging.getLogger("fieldspur")
     root.handlers[:], root.propagate = [handler], False
     root.setLevel(level)
--- a/fieldspur/operators.py
+++ b/fieldspur/operators.py
@@ -78,13 +78,15 @@
     if not data.strip():
         return Operators()
     try:
-        value = msgspec.json.decode(data, type=dict)
+        value = json.loads(data)
+        if not isinstance(value, dict):
+            raise BadFile("the file: not an object")
         known(value, Operators(), "")
         found = msgspec.convert(value, Operators, strict=True)
     except msgspec.ValidationError as wrong:
         said, _, at = str(wrong).partition(" - at `$")
         raise BadFile(f"{at.strip('.`') or 'the file'}: {said}") from None
-    except msgspec.DecodeError as wrong:
+    except (ValueError, RecursionError) as wrong:
         raise BadFile(f"the file: not JSON ({wrong})") from None
     check(found)
     return found
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,448 @@
+"""The ordinary path: hand-offs, half writes, one caller in the Router, and the guard that keeps it cheap."""
+
+import os
+import random
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import given, settings as tries
+from hypothesis import strategies as st
+
+from fieldspur.bench import count
+from fieldspur.bench.peers import request as usual_request
+from fieldspur.host import RESULTS
+from fieldspur.net import frames, holds as holding, now, resp
+from fieldspur.net.board import ListChange, Listed
+from fieldspur.net.book import Answer, Book, Txn
+from fieldspur.net.relay import Outlet, Relay
+from fieldspur.net.route import Route
+from fieldspur.net.send import Hop, Lane, Send
+from fieldspur.net.takein import encode
+from fieldspur.net.wheel import NEVER, SHIFT, Wheel
+from fieldspur.net.window import Window
+from fieldspur.site import MS, deployment
+from helpers import Cache, Listener, settings, until
+
+ROOT = Path(__file__).parents[1]
+
+
+# Parts.
+
+@tries(deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.sampled_from("aacd"), st.integers(0, 40 << SHIFT)), max_size=60))
+def test_a_wheel_gives_what_a_sorted_list_gives(steps):
+    wheel, plain, now_at = Wheel(), {}, 0
+    for n, (what, value) in enumerate(steps):
+        if what == "a":
+            wheel.add(value, n)
+            plain[n] = value
+        elif what == "c" and plain:
+            key = sorted(plain)[value % len(plain)]
+            assert wheel.cancel(plain.pop(key), key) and not wheel.cancel(5, key)
+        elif what == "d":
+            now_at = max(now_at, value)
+            due = sorted((at, key) for key, at in plain.items() if at <= now_at)
+            assert sorted(wheel.due(now_at)) == due
+            for _, key in due:
+                del plain[key]
+        assert wheel.next() == min(plain.values(), default=NEVER) and wheel.count == len(plain)
+
+
+@tries(deadline=None, derandomize=True)
+@given(st.booleans(), st.lists(st.integers(1, 9000), min_size=1, max_size=12), st.randoms(use_true_random=False))
+def test_a_window_keeps_every_byte_in_order_and_never_reads_into_nothing(eager, sizes, chance):
+    """Messages of a known length pass whatever the reads bring, and a steady state makes no new buffer."""
+    window, sent = Window(256, eager), b"".join(bytes([n % 251]) * size for n, size in enumerate(sizes))
+    at, done = 0, 0
+    while done < len(sizes):
+        room = window.room()
+        assert len(room)
+        size = min(len(room), len(sent) - at, chance.randint(1, 5000))
+        room[:size] = sent[at:at + size]
+        window.end, at = window.end + size, at + size
+        while done < len(sizes):
+            window.whole = sizes[done]
+            if window.end - window.start < sizes[done]:
+                break
+            assert window.buf[window.start:window.start + sizes[done]] == bytes([done % 251]) * sizes[done]
+            window.start, window.whole, done = window.start + sizes[done], 0, done + 1
+    before = window.room().obj
+    if eager:
+        assert window.room().obj is before
+
+
+FIELD = st.sampled_from(["verb", "txn", "limit", "unique", "item", "slice", "set", "ram", "seen", "odd"])
+VALUE = st.one_of(st.from_regex(r"[0-9a-f]{16}", fullmatch=True), st.from_regex(r"[0-9]{1,12}", fullmatch=True),
+                  st.from_regex(r"[!-~]{0,12}", fullmatch=True), st.from_regex(r"[0-9]{1,4}\.[0-9]{0,3}", fullmatch=True))
+GOOD = [("verb", "media"), ("txn", "9b1f03aa5c7e2d41"), ("limit", "1500"), ("item", "7f3a9c21e0b4d655"), ("set", "17")]
+
+
+@tries(deadline=None, derandomize=True, max_examples=300)
+@given(st.lists(st.tuples(FIELD, VALUE), max_size=4), st.integers(0, 5), st.booleans(), st.binary(max_size=20),
+       st.integers(-1, 1))
+def test_a_request_read_by_one_match_is_what_field_by_field_makes_of_it(extra, where, ordered, body, off):
+    rows = GOOD[:where] + extra + GOOD[where:] if not ordered else GOOD[:4] + [("slice", "3"), GOOD[4], ("ram", "4.5")]
+    payload = bytes([max(0, len(rows) + off * (not ordered))]) + b"".join(
+        bytes([len(k)]) + k.encode() + len(v).to_bytes(2, "big") + v.encode() for k, v in rows) + body
+    quick = frames.usual(5, bytearray(payload), 0, len(payload))
+    if quick is not None:
+        assert quick == frames.request(5, payload)
+    assert quick is not None or not ordered
+
+
+@tries(deadline=None, derandomize=True, max_examples=30)
+@given(st.lists(st.integers(0, 120_000), max_size=4), st.lists(st.integers(1, 70_000), min_size=1, max_size=30))
+def test_long_answers_pass_whole_whatever_the_reads_bring(sizes, reads):
+    bodies = [b"%04d" % n * (size // 4) for n, size in enumerate(sizes)]
+    data = b"".join(resp.array(b"%016x" % n, b"ACK", b"entity=e", body) for n, body in enumerate(bodies))
+    decoder, found, at = resp.Decoder(), [], 0
+    while at < len(data):
+        room = decoder.window.room()
+        size = min(len(room), reads[len(found) % len(reads)], len(data) - at)
+        room[:size] = data[at:at + size]
+        at += size
+        found += [(reply.ident, bytes(reply.body)) for reply in decoder.filled(size)]
+    assert found == [("%016x" % n, body) for n, body in enumerate(bodies)] and not decoder.within()
+
+
+def test_an_array_that_grows_beyond_any_answer_ends_the_reading():
+    decoder = resp.Decoder()
+    with pytest.raises(resp.BadReply):
+        list(decoder.feed(resp.array(b"a" * 200_000, b"b" * 200_000, b"c")))
+
+
+def test_a_write_that_can_not_wait_tells_what_is_left(monkeypatch):
+    for raw in (now.raw, None):
+        monkeypatch.setattr(now, "raw", raw)
+        here, there = socket.socketpair()
+        here.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+        sent, data = 0, b"x" * 1_000_000
+        left = now.write_now(here, (data,))
+        assert 0 < sum(map(len, left)) < len(data)
+        assert now.write_now(here, left) == left or sum(map(len, left))  # full: nothing goes, nothing waits
+        there.close()
+        with pytest.raises(OSError):
+            for _ in range(3):
+                now.write_now(here, (data,))
+        here.close()
+
+
+# One connection to a server.
+
+class Posted:
+    """In place of route: keeps what is posted."""
+
+    hop_ended = "hop_ended"
+
+    def __init__(self):
+        self.posted = []
+
+    def post(self, what, *about):
+        self.posted.append(about)
+
+
+def sender(address):
+    send = Send(deployment(settings()), Book(), Relay(1 << 20), 4)
+    send.route = Posted()
+    host, port = address.split(":")
+    send.listed("c0", (host, int(port)), "up")
+    return send
+
+
+def want(name, body=b""):
+    return resp.Want(name, "media", "0" * 16, 0, 3000, None, None, 0, 0, False, False, True, None, body)
+
+
+def go(send, hop):
+    lane = send.hop(hop)
+    lane.pump()
+    return lane
+
+
+def test_a_socket_that_takes_half_a_write_gets_the_rest_and_then_the_hops_behind():
+    """The server reads nothing for a while; hops go on being put, in order, and none is lost or doubled."""
+    gate, seen = threading.Event(), []
+
+    class Slow(Cache):
+        def serve(self, conn):
+            gate.wait(20)
+            super().serve(conn)
+
+    cache = Slow(lambda w: seen.append((w["id"], len(w["body"]))))
+    send = sender(cache.address)
+    hops = [Hop(n + 1, 0, f"{n:016x}", "c0", None, want(f"{n:016x}", b"w" * 48_000), time.time_ns()) for n in range(90)]
+    lane = go(send, hops[0])
+    until(lambda: lane.ready)
+    lane.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+    for hop in hops[1:]:
+        assert go(send, hop) is lane
+    until(lambda: lane.draining)
+    assert not seen
+    gate.set()
+    until(lambda: len(seen) == 90)
+    assert seen == [(hop.name, 48_000) for hop in hops] and not lane.draining and not send.route.posted
+
+
+def test_a_connection_that_breaks_under_half_a_write_says_which_hop_never_ran():
+    quiet = Listener()
+    quiet.serve = lambda conn: time.sleep(30)
+    send = sender(quiet.address)
+    first = Hop(1, 0, "a" * 16, "c0", None, want("a" * 16), time.time_ns())
+    lane = go(send, first)
+    until(lambda: lane.ready and first.written)
+    lane.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    bodies = [Hop(n, 0, f"{n:016x}", "c0", None, want(f"{n:016x}", b"w" * 48_000), time.time_ns()) for n in range(2, 150)]
+    for hop in bodies:
+        go(send, hop)
+        if lane.draining:
+            break
+    assert lane.draining
+    until(lambda: quiet.conns)
+    quiet.reset()
+    until(lambda: lane.closed and len(send.route.posted) == 1 + bodies.index(hop) + 1)
+    ends = {about[0].name: about[1] for about in send.route.posted}
+    assert ends["a" * 16] == "broken" and ends[hop.name] in ("unsent", "broken") and set(ends.values()) <= set(RESULTS)
+
+
+def test_a_server_gone_between_choice_and_write_never_gets_the_hop():
+    cache = Cache(lambda w: None)
+    send = sender(cache.address)
+    hop = Hop(1, 0, "a" * 16, "c0", None, want("a" * 16), time.time_ns())
+    lane = go(send, hop)
+    until(lambda: hop.written and cache.wants)
+    other = Hop(2, 0, "b" * 16, "c0", None, want("b" * 16), time.time_ns())
+    assert send.hop(other) is lane
+    send.listed("c0", ("", 0), "gone")
+    lane.pump()
+    assert [about[:2] for about in send.route.posted] == [(other, "unsent")] and "b" * 16 not in lane.open
+
+
+def test_an_answer_that_comes_while_its_hop_is_still_being_written_counts_once():
+    """The server answers as soon as it has seen the head of a large write."""
+    seen = threading.Event()
+
+    class Hasty(Listener):
+        def serve(self, conn):
+            conn.recv(2000)
+            conn.sendall(resp.array(b"a" * 16, b"EIO", b"-"))
+            seen.set()
+            while conn.recv(65_536):
+                pass
+
+    hasty = Hasty()
+    send = sender(hasty.address)
+    hop = Hop(1, 0, "a" * 16, "c0", None, want("a" * 16, b"w" * 48_000), time.time_ns())
+    lane = go(send, hop)
+    until(seen.is_set)
+    until(lambda: send.route.posted)
+    assert send.route.posted[0][:2] == (hop, "error") and len(send.route.posted) == 1 and not lane.open
+    assert not send.give_up(hop, time.time_ns())
+
+
+# One caller in the Router.
+
+def plain_route():
+    site = deployment(settings())
+    return Route(site, 1, Book(), Relay(1 << 20), Send(site, Book(), Relay(1 << 20), 4))
+
+
+def test_events_of_many_threads_are_handled_once_each_by_one_caller_at_a_time():
+    """100,000 events from 8 threads, some of which post further ones from inside, with the interpreter given up at will."""
+    route, inside, seen, overlaps = plain_route(), [], [], []
+    before, spread = sys.getswitchinterval(), 12_500
+    sys.setswitchinterval(1e-6)
+
+    def event(who, n):
+        if inside:
+            overlaps.append((who, n))
+        inside.append(who)
+        if n % 10 == 0:
+            route.post(inner, who, n)
+        inside.pop()
+        seen.append((who, n))
+
+    def inner(who, n):
+        if inside:
+            overlaps.append((who, n))
+        seen.append((who, -n - 1))
+
+    def post(who):
+        for n in range(spread):
+            route.post(event, who, n)
+
+    try:
+        threads = [threading.Thread(target=post, args=(who,)) for who in range(8)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(60)
+    finally:
+        sys.setswitchinterval(before)
+    route.work(0)  # what a thread that had worked long enough left to the timers' one
+    assert not overlaps and not route.queue and not holding.broken
+    assert len(seen) == 8 * (spread + spread // 10) and len(set(seen)) == len(seen)
+    for who in range(8):
+        mine = [n for other, n in seen if other == who and n >= 0]
+        assert mine == sorted(mine), "events of one thread in another order"
+
+
+def test_a_second_caller_in_the_router_is_noticed():
+    route = plain_route()
+    route.caller = 1
+    with pytest.raises(AssertionError):
+        route.post(lambda: None)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_interleavings_of_all_that_ends_a_txn_give_each_exactly_one_final_answer(seed):
+    """5,000 txns a seed: an answer, an error, a cut, a withdrawal, a broken connection and the Router's own end fall on each
+    other in a generated order, from several threads."""
+    chance, site = random.Random(seed), deployment(settings())
+    book, relay = Book(), Relay(1 << 20)
+    send = Send(site, book, relay, 4)
+    route = Route(site, 1, book, relay, send)
+    answered = {}
+    lanes = SimpleNamespace(pump=lambda: None, drop=lambda hop, at: None)
+    hops = {}
+
+    class Taking:
+        def answer(self, stream, answer):
+            if streams.pop(stream, None) is None:
+                return False
+            answered.setdefault(stream, []).append(answer.word)
+            return True
+
+    def hop_out(hop):
+        hop.lane, hop.written = lanes, time.time_ns()
+        hops.setdefault(hop.ident, []).append(hop)
+        return lanes
+
+    send.hop = hop_out
+    outlet, streams, withdrawn = Taking(), {}, set()
+    rows = tuple(Listed(f"c{n}", ("127.0.0.1", 1), "east", "std", 0, "up", 500.0, 0) for n in range(3))
+    route.list_changed(ListChange(True, rows))
+    count_of = 5_000
+
+    def end(ident):
+        todo = chance.sample(("good", "error", "cut", "withdraw", "broken", "good"), chance.randint(1, 4))
+        for what in todo:
+            hop = hops[ident][-1] if hops.get(ident) else None
+            if what == "withdraw":
+                if streams.pop(ident, None) is not None:
+                    withdrawn.add(ident)
+                    if book.withdraw(ident):
+                        route.post(route.withdrawn, ident)
+            elif hop is None:
+                continue
+            elif what == "cut":
+                route.post(route.cut, ident, hop.number)
+            elif what == "broken":
+                send.ended(hop, "broken")
+            else:
+                send.answered(hop, resp.Reply(hop.name, "completed" if what == "good" else "error", False, 1, None, None,
+                                              b"x"), time.time_ns())
+
+    def arrive(numbers):
+        for ident in numbers:
+            streams[ident] = ident
+            at = time.time_ns()
+            txn = Txn(ident, f"{ident:016x}", ident % 2, "media", f"{ident % 7:016x}", 0, 1, 1.0, "k", None, b"", at,
+                      at + 60_000 * MS, outlet, ident)
+            book.take(txn)
+            route.post(route.arrived, txn)
+            end(ident)
+
+    threads = [threading.Thread(target=arrive, args=(range(1 + n, count_of + 1, 4),)) for n in range(4)]
+    before = sys.getswitchinterval()
+    sys.setswitchinterval(1e-5)
+    try:
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(60)
+    finally:
+        sys.setswitchinterval(before)
+    route.work(0)
+    for _ in range(20):  # whatever is still open has its hops ended, tries of their own included
+        for ident in list(book.open):
+            if hops.get(ident):
+                send.ended(hops[ident][-1], "unreachable")
+        route.work(0)
+    for ident in list(book.open):  # followers whose leader had gone
+        route.post(route.cut, ident, hops[ident][-1].number if hops.get(ident) else 0)
+    route.work(0)
+    double = [ident for ident, words in answered.items() if len(words) != 1]
+    both = [ident for ident in answered if ident in withdrawn]
+    none = [ident for ident in range(1, count_of + 1) if ident not in answered and ident not in withdrawn]
+    assert not double and not both and not none and not book.open and relay.done() and not holding.broken
+
+
+def test_a_txn_given_up_inside_the_call_that_started_it_is_answered_by_that_thread_at_once():
+    route = plain_route()
+    here, there = socket.socketpair()
+    outlet = Outlet(here, encode, route.relay)
+    outlet.open(1, 1)
+    at = time.time_ns()
+    route.book.take(Txn(1, "a" * 16, 0, "media", "o", 0, 1, 1.0, None, None, b"", at, at + 3000 * MS, outlet, 1))
+    route.post(route.arrived, route.book.open[1])  # no server is listed
+    there.setblocking(False)
+    assert there.recv(100)[9] == frames.REFUSED and route.relay.done()
+
+
+def test_an_earlier_timer_wakes_the_timers_thread_and_cancelled_ones_do_not():
+    route, told = plain_route(), []
+    route.router = SimpleNamespace(woken=lambda label: told.append((label, time.time_ns())))
+    threading.Thread(target=route.run, daemon=True).start()
+    base = time.time_ns()
+
+    def set_timers():
+        for label, after in ((1, 5_000), (2, 60), (3, 30), (4, 40)):
+            route.wake(label, base + after * MS)
+        route.forget(4)
+
+    route.post(set_timers)
+    until(lambda: len(told) == 2)
+    assert [label for label, _ in told] == [3, 2] and all(at >= base + after * MS for (_, at), after in zip(told, (30, 60)))
+    assert route.wheel.count == 1 and list(route.wakes) == [1]
+
+
+# The guard.
+
+PLANTS = {
+    "": "",
+    "copies_to_a_quick_client": "from fieldspur.net.relay import Outlet\nput = Outlet.put\n"
+              "Outlet.put = lambda self, data: put(self, (b''.join(data),))\n",
+    "threads": "import queue, threading\nfrom fieldspur.net.route import Route\npost, line = Route.post, queue.Queue()\n"
+               "Route.post = lambda self, *about: line.put((self, about))\n"
+               "def run():\n    while True:\n        self, about = line.get()\n        post(self, *about)\n"
+               "def begin(self, old=Route.run):\n    threading.Thread(target=run, daemon=True).start()\n    old(self)\n"
+               "Route.run = begin\n",
+    "peak_bytes": "from fieldspur.net.resp import Decoder\nfilled = Decoder.filled\n"
+                  "def more(self, size):\n    held = bytearray(65536)\n    yield from filled(self, size)\n"
+                  "Decoder.filled = more\n"}
+
+
+@pytest.mark.parametrize("planted", PLANTS)
+def test_the_guard_names_a_copy_a_hand_off_and_an_allocation_and_passes_without(planted):
+    rule = "media" if planted.startswith("copies") else "pages"
+    code = (PLANTS[planted] + "import json, os\nfrom fieldspur.bench import count\nlimits = json.loads(count.LIMITS.read_text())\n"
+            f"print(json.dumps(count.passed(count.counts({rule!r}, 30), limits[{rule!r}])), flush=True)\nos._exit(0)\n")
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60, cwd=ROOT)
+    named = [line.split(":")[0] for line in eval(done.stdout or repr([done.stderr]))]
+    assert planted in named if planted else named == [], done.stderr
+
+
+def test_the_command_holds_all_limits_and_says_so_by_its_code():
+    done = subprocess.run([sys.executable, "-m", "fieldspur.cli", "bench", "path", "--guard"], capture_output=True, text=True,
+                          timeout=60, cwd=ROOT)
+    assert done.returncode == 0, done.stderr
+
+
+def test_a_count_above_its_limit_is_named_with_both():
+    assert count.passed({"calls": 90, "reads": 2}, {"calls": 80, "reads": 2}) == ["calls: 90 a txn, 80 allowed"]
