What one read brings is handled together and answered in one write

Now the txns of one read from a client post together, so that their hops go out in one write to a server, and answers of one read from a server go to each client in one write. A single one pays nothing for it.

It might hurt where a read brings many answers and the first one waits for the others to be read: 0.05 ms each.

--- a/fieldspur/bench/path.py
+++ b/fieldspur/bench/path.py
@@ -17,9 +17,9 @@
 
 from fieldspur.bench.plain import node_file
 
-WORKS = {  # name: (rule, bytes of a body, txns in flight)
-    "pages-1": ("pages", 2048, 1), "pages-16": ("pages", 2048, 16), "media-1": ("media", 240_000, 1),
-    "media-8": ("media", 240_000, 8)}
+WORKS = {  # name: (rule, bytes of a body, connections, txns in flight on each)
+    "pages-1": ("pages", 2048, 1, 1), "pages-16": ("pages", 2048, 1, 16), "pages-16x1": ("pages", 2048, 16, 1),
+    "media-1": ("media", 240_000, 1, 1), "media-8": ("media", 240_000, 1, 8)}
 ROOT = Path(__file__).resolve().parents[2]
 TICK = os.sysconf("SC_CLK_TCK")
 
@@ -61,13 +61,13 @@
 
 def peer(**plan) -> subprocess.Popen:
     return subprocess.Popen([sys.executable, "-m", "fieldspur.bench.peers", json.dumps(plan)], cwd=ROOT,
-                            stdout=subprocess.PIPE, text=True)
+                            stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
 
 
 def measure(build: Path, work: str, seconds: float = 4.0, trace: bool = True, core: int | None = None) -> dict:
     """One work against one build, with servers and clients in other processes. Figures are a txn's. With `core` the
     router is kept on that one, and all else off it."""
-    rule, size, flight = WORKS[work]
+    rule, size, connections, flight = WORKS[work]
     cores = os.sched_getaffinity(0)
     if core is not None:
         if core not in cores or len(cores) < 2:
@@ -88,12 +88,14 @@
             os.sched_setaffinity(router.pid, {core})
 
         def run(span: float) -> dict:
-            asker = peer(what="loop", address=["127.0.0.1", listen], flight=flight, seconds=span, rule=rule,
-                         kb=size / 1024)
-            said = asker.communicate()[0]
+            asker = peer(what="loop", address=["127.0.0.1", listen], connections=connections, flight=flight,
+                         seconds=span, rule=rule, kb=size / 1024)
+            said = asker.stdout.readline()
+            found = {"used": usage(router.pid)}
+            asker.communicate("")
             if asker.returncode or not said:
                 raise BenchFailed(f"{work}: the clients got no answers")
-            return json.loads(said)
+            return json.loads(said) | found
 
         for _ in range(200):
             try:
@@ -104,7 +106,7 @@
         run(0.5 + seconds / 8)  # connections, buffers and the first learning
         before = usage(router.pid)
         done = run(seconds)
-        after = usage(router.pid)
+        after = done["used"]
         if not done["txns"] or done["bad"]:
             raise BenchFailed(f"{work}: {done['bad']} of {done['txns']} txns were not completed")
         found = {"work": work, "txns": done["txns"], "cpu_us": (after["cpu"] - before["cpu"]) / done["txns"] * 1e6,
--- a/fieldspur/bench/peers.py
+++ b/fieldspur/bench/peers.py
@@ -67,38 +67,46 @@
     return HEAD.pack(5 + len(payload), 65, stream) + payload
 
 
-def loop(address: tuple[str, int], flight: int, seconds: float, rule: str, kb: float) -> dict:
-    """`flight` connections with one txn each, the next one as soon as the last is answered."""
-    chosen, streams, number, times, bad = selectors.DefaultSelector(), {}, time.time_ns(), [], 0
-    for _ in range(flight):
+def loop(address: tuple[str, int], connections: int, flight: int, seconds: float, rule: str, kb: float) -> dict:
+    """Connections with `flight` txns each, the next one as soon as one is answered."""
+    chosen, number, times, bad = selectors.DefaultSelector(), time.time_ns(), [], 0
+    state: dict[socket.socket, tuple] = {}  # when each open stream was asked; bytes not yet taken; streams used
+    for _ in range(connections):
         sock = socket.create_connection(address)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         chosen.register(sock, selectors.EVENT_READ)
-        streams[sock] = [0, 0, bytearray()]
+        state[sock] = ({}, bytearray(), [0])
     end = time.monotonic() + seconds
 
-    def ask(sock: socket.socket) -> None:
+    def ask(sock: socket.socket, count: int) -> None:
         nonlocal number
-        number += 1
-        state = streams[sock]
-        state[0] += 1
-        state[1] = time.perf_counter_ns()
-        sock.sendall(request(state[0], number, rule, kb))
-
-    for sock in streams:
-        ask(sock)
+        asked, _, used = state[sock]
+        data = []
+        for _ in range(count):
+            number += 1
+            used[0] += 1
+            asked[used[0]] = time.perf_counter_ns()
+            data.append(request(used[0], number, rule, kb))
+        sock.sendall(b"".join(data))
+
+    for sock in state:
+        ask(sock, flight)
     while time.monotonic() < end:
         for key, _ in chosen.select(0.1):
-            sock, held = key.fileobj, streams[key.fileobj][2]
+            sock = key.fileobj
+            asked, held, _ = state[sock]
             data = sock.recv(262_144)
             if not data:
                 raise SystemExit("the router closed a connection")
             held += data
-            if len(held) >= 4 and len(held) >= 4 + int.from_bytes(held[:4], "big"):
-                times.append(time.perf_counter_ns() - streams[sock][1])
-                bad += held[9] != 79
-                held.clear()
-                ask(sock)
+            at = done = 0
+            while len(held) - at >= 9 and len(held) - at >= 4 + (size := int.from_bytes(held[at:at + 4], "big")):
+                times.append(time.perf_counter_ns() - asked.pop(int.from_bytes(held[at + 5:at + 9], "big")))
+                bad += held[at + 9] != 79
+                at, done = at + 4 + size, done + 1
+            del held[:at]
+            if done:
+                ask(sock, done)
     times.sort()
     at = (lambda q: times[min(len(times) - 1, int(q * len(times)))] / 1000) if times else (lambda q: 0.0)
     return {"txns": len(times), "bad": bad, "p50_us": at(0.5), "p99_us": at(0.99), "p999_us": at(0.999)}
@@ -111,7 +119,9 @@
         print(listener.getsockname()[1], flush=True)
         hits(listener, b"b" * plan["body"])
     else:
-        print(json.dumps(loop(tuple(plan["address"]), plan["flight"], plan["seconds"], plan["rule"], plan["kb"])))
+        print(json.dumps(loop(tuple(plan["address"]), plan["connections"], plan["flight"], plan["seconds"], plan["rule"],
+                              plan["kb"])), flush=True)
+        sys.stdin.read()  # the router's threads are counted while the connections are there
 
 
 if __name__ == "__main__":
--- a/fieldspur/net/relay.py
+++ b/fieldspur/net/relay.py
@@ -23,14 +23,16 @@
         self.sock, self.encode, self.relay = sock, encode, relay
         self.streams: dict[int, int] = {}  # open txns by stream
         self.lock = threading.Lock()
+        self.corked: list[bytes] = []  # answers of one read, to go out together; nothing is owed less for it
         self.waiting: deque[bytes] = deque()
         self.writing = False  # a thread is at what waits
         self.closing = False  # ends once nothing is owed
         self.cutting = self.ended = False
         self.idle_since = time.monotonic()
 
-    def answer(self, stream: int, answer: Answer) -> bool:
-        """False where the client has withdrawn: taking the stream out is what gives the right to use it."""
+    def answer(self, stream: int, answer: Answer, cork: list | None = None) -> bool:
+        """False where the client has withdrawn: taking the stream out is what gives the right to use it. With `cork` a
+        short answer waits for `uncork`, for which the outlet is put there."""
         if len(answer.body) + self.relay.held > self.relay.most_held:
             self.relay.too_much += 1  # clients that do not read hold all memory for answers
             answer = Answer("aborted")
@@ -38,9 +40,19 @@
         with self.lock:  # both at once, or the connection might be closed in between as one that owes nothing
             if self.streams.pop(stream, None) is None:
                 return False
-            self.put(data)
+            if cork is None or len(data) > 1:
+                self.put(data)
+            else:
+                if not self.corked:
+                    cork.append(self)
+                self.corked.append(data[0])
             return True
 
+    def uncork(self) -> None:
+        with self.lock:
+            data, self.corked = self.corked, []
+            self.put((b"".join(data),))
+
     def write(self, data: tuple) -> None:
         with self.lock:
             self.put(data)
@@ -92,7 +104,7 @@
 
     def close_if_done(self) -> None:
         """Nothing more goes out, but what the client still sends is read, for a reset would take answers along."""
-        if self.closing and not self.streams and not self.waiting:
+        if self.closing and not self.streams and not self.waiting and not self.corked:
             try:
                 self.sock.shutdown(socket.SHUT_WR)
             except OSError:
@@ -113,7 +125,7 @@
 
     def cut_if_idle(self) -> bool:
         with self.lock:
-            self.cutting |= not self.streams
+            self.cutting |= not self.streams and not self.corked
             if self.cutting:
                 self.cut()
             return self.cutting
@@ -151,8 +163,8 @@
     def done(self) -> bool:
         return not self.held and not self.owing
 
-    def answer(self, txn: Txn, answer: Answer) -> None:
-        if not txn.outlet.answer(txn.stream, answer):
+    def answer(self, txn: Txn, answer: Answer, cork: list | None = None) -> None:
+        if not txn.outlet.answer(txn.stream, answer, cork):
             return
         now = time.time_ns()
         if now - txn.limit_at > OVERDUE:
--- a/fieldspur/net/route.py
+++ b/fieldspur/net/route.py
@@ -61,6 +61,15 @@
         if not self.mine.busy:
             self.work()
 
+    def gather(self) -> None:
+        """What this thread posts from here on waits for `handle`, so that what it leads to goes out together."""
+        self.mine.busy = True
+
+    def handle(self) -> None:
+        self.mine.busy = False
+        if self.queue:
+            self.work()
+
     def full(self) -> bool:
         return len(self.queue) >= MOST_QUEUED
 
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -208,14 +208,7 @@
         decoder = resp.Decoder()
         try:
             while size := self.receive(decoder):
-                self.heard = now = time.time_ns()
-                for reply in decoder.filled(size):
-                    with self.lock:
-                        hop = self.open.pop(reply.ident, None)
-                        if hop is not None:
-                            self.use_up(hop, hop.ident)
-                    if hop is not None:  # else given up, and crossed
-                        self.send.answered(hop, reply, now)
+                self.replies(decoder, size)
                 if self.retired or self.server not in self.send.servers:
                     self.look()
         except OSError:
@@ -224,6 +217,30 @@
             log.error("unreadable", extra={"kv": {"server": self.server, "why": str(bad)}})
         self.end()
 
+    def replies(self, decoder: resp.Decoder, size: int) -> None:
+        """All that one read brought. Answers to one client go out in one write, and the Router hears of them together."""
+        send, window, cork = self.send, decoder.window, []
+        self.heard = now = time.time_ns()
+        send.route.gather()
+        try:
+            for reply in decoder.filled(size):
+                with self.lock:
+                    hop = self.open.pop(reply.ident, None)
+                    if hop is not None:
+                        self.use_up(hop, hop.ident)
+                if hop is None:
+                    continue  # given up, and crossed
+                if cork or window.end > window.start:  # else it is the only one
+                    send.relay.owing.add((0, id(self)))
+                    send.answered(hop, reply, now, cork)
+                else:
+                    send.answered(hop, reply, now)
+        finally:
+            for outlet in cork:
+                outlet.uncork()
+            send.relay.owing.discard((0, id(self)))
+            send.route.handle()
+
     def shut(self) -> None:
         try:
             self.sock.shutdown(socket.SHUT_RDWR)
@@ -352,7 +369,7 @@
     def report(self, hop: Hop, result: str, reply: resp.Reply | None = None, at: int = 0) -> None:
         self.route.post(self.route.hop_ended, hop, result, (at or time.time_ns()) - hop.asked, reply)
 
-    def answered(self, hop: Hop, reply: resp.Reply, at: int) -> None:
+    def answered(self, hop: Hop, reply: resp.Reply, at: int, cork: list | None = None) -> None:
         if not self.claim(hop):
             return
         if hop.want is not None and reply.result == "completed":
@@ -364,7 +381,7 @@
             self.relay.owing.add(owed)
             txn = self.book.settle(hop.ident, answer)
             if txn is not None:
-                self.relay.answer(txn, answer)
+                self.relay.answer(txn, answer, cork)
             self.relay.owing.discard(owed)
         reply.body = b""  # it lay in the connection's buffer
         self.report(hop, reply.result, reply, at)
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -65,6 +65,7 @@
                         break
                     continue
                 now = time.time_ns()
+                self.takein.route.gather()
                 try:
                     for value in decoder.filled(size):
                         self.took(value, now)
@@ -73,6 +74,8 @@
                         self.hold(held)
                 except frames.BadFrame as bad:
                     self.fail(str(bad))
+                finally:
+                    self.takein.route.handle()
         except OSError:
             pass  # reset: as if it had closed
         self.hold(0)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -146,6 +146,11 @@
     def post(self, what, *about):
         self.posted.append(about)
 
+    def gather(self):
+        pass
+
+    handle = gather
+
 
 def sender(address):
     send = Send(deployment(settings()), Book(), Relay(1 << 20), 4)
@@ -245,6 +250,40 @@
     assert not send.give_up(hop, time.time_ns())
 
 
+def test_answers_of_one_read_go_out_in_one_write_and_each_to_its_own_client():
+    """Corked answers are owed until they are written: neither a sweep nor an end closes their connection before."""
+    send = sender(Listener().address)
+    lane = go(send, Hop(99, 0, "f" * 16, "c0", None, want("f" * 16), time.time_ns()))
+    pairs, outlets = [socket.socketpair() for _ in range(2)], []
+    for here, _ in pairs:
+        outlets.append(Outlet(here, encode, send.relay))
+    data, at = b"", time.time_ns()
+    for n in range(6):
+        name = f"{n + 1:016x}"
+        outlets[n % 2].open(n + 1, n + 1)
+        send.book.take(Txn(n + 1, name, 0, "media", "o", 0, 1, 1.0, None, None, b"", at, at + 10**10, outlets[n % 2], n + 1))
+        go(send, Hop(n + 1, 0, name, "c0", None, want(name), at))
+        data += resp.array(name.encode(), b"ACK", b"entity=e,issued=1", b"body-%d" % n)
+    seen, put = [], Outlet.uncork
+
+    def look(self):
+        seen.append((len(self.corked), self.cut_if_idle(), send.relay.done()))
+        put(self)
+
+    Outlet.uncork, decoder = look, resp.Decoder()
+    try:
+        room = decoder.window.room()
+        room[:len(data)] = data
+        lane.replies(decoder, len(data))
+    finally:
+        Outlet.uncork = put
+    assert seen == [(3, False, False)] * 2 and send.relay.done() and len(send.route.posted) == 6
+    for n, (_, there) in enumerate(pairs):
+        there.setblocking(False)
+        assert there.recv(4000) == b"".join(b"".join(encode(s, Answer("completed", body=b"body-%d" % (s - 1))))
+                                            for s in (n + 1, n + 3, n + 5))
+
+
 # One caller in the Router.
 
 def plain_route():
@@ -312,7 +351,7 @@
     hops = {}
 
     class Taking:
-        def answer(self, stream, answer):
+        def answer(self, stream, answer, cork=None):
             if streams.pop(stream, None) is None:
                 return False
             answered.setdefault(stream, []).append(answer.word)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -486,6 +486,11 @@
     def post(self, what, *about):
         self.posted.append(about)
 
+    def gather(self):
+        pass
+
+    handle = gather
+
 
 def sender(address, state="up", lanes=4):
     relay, book = Relay(1 << 20), Book()
