--- a/fieldspur/lab/far.py
+++ b/fieldspur/lab/far.py
@@ -108,7 +108,7 @@
     def cut(self, ident: int, number: int, began: int, result: str) -> None:
         asked = self.hops.get((ident, number))
         if asked is not None and not asked.over:
-            asked.over = True
+            asked.give_up()
             self.ended(ident, number, result, began)
 
     def ended(self, ident, number, result, began, note=0, waited=None, copy=None, load=None) -> None:
@@ -125,7 +125,7 @@
         """The server died under a hop."""
         asked = self.hops.get((ident, number))
         if asked is not None and not asked.over:
-            asked.over = True
+            asked.give_up()
             self.clock.later(NET, lambda: self.ended(ident, number, "broken", self.clock.time))
 
     def cancel(self, ident, number) -> None:
@@ -295,9 +295,9 @@
             self.clock.later(self.random.randrange(*TOLD_AFTER), told)
 
     def sample(self) -> None:
-        crowds = [len(model.link.jobs) / model.link.rating for model in self.models.values() if model.kind == "std"]
+        crowds = [model.link.live / model.link.rating for model in self.models.values() if model.kind == "std"]
         self.curve.append({"second": round((self.clock.time - self.began) / SECOND, 2), "open": self.outcomes.open,
-                           "store": len(self.store.link.jobs), "caches": [round(max(crowds), 2)],
+                           "store": self.store.link.live, "caches": [round(max(crowds), 2)],
                            "usual": round(sum(crowds) / len(crowds), 3)})
         for name, out in self.out_at.items():
             self.out_at[name] = {row for row in out if row[1:] in row[0].hops}
--- a/fieldspur/lab/model.py
+++ b/fieldspur/lab/model.py
@@ -42,6 +42,14 @@
     end: Callable
     ident: str = ""
     over: bool = False
+    link: Shared | None = None  # where it is being sent,
+    job: list | None = None  # ... and as what
+
+    def give_up(self) -> None:
+        """Nobody waits for it: what was still to be sent is not."""
+        self.over = True
+        if self.link is not None:
+            self.link.drop(self.job)
 
 
 @dataclass(slots=True, eq=False)
@@ -58,22 +66,35 @@
     def __init__(self, clock: Clock, rating: float):
         self.clock, self.rating, self.slow = clock, rating, 1.0
         self.done, self.at = 0.0, clock.now()  # work done for each job so far, in ns at full pace; as of when
-        self.jobs: list = []  # heap of (its end on `done`, order, what)
+        self.jobs: list = []  # heap of [its end on `done`, order, what]; without `what` it was given up
+        self.live = 0  # those that were not
         self.order, self.woken = itertools.count(), 0
 
     def pace(self) -> float:
-        return min(1.0, self.rating / len(self.jobs)) / self.slow if self.jobs else 1.0
+        return min(1.0, self.rating / self.live) / self.slow if self.live else 1.0
 
     def advance(self) -> None:
         now = self.clock.now()
         self.done, self.at = self.done + (now - self.at) * self.pace(), now
 
-    def add(self, work: int, what: Callable[[], None]) -> None:
+    def add(self, work: int, what: Callable[[], None]) -> list:
         self.advance()
-        heapq.heappush(self.jobs, (self.done + max(LEAST, work), next(self.order), what))
+        job = [self.done + max(LEAST, work), next(self.order), what]
+        heapq.heappush(self.jobs, job)
+        self.live += 1
         self.plan()
+        return job
+
+    def drop(self, job: list) -> None:
+        if job[2] is not None:
+            self.advance()
+            job[2] = None
+            self.live -= 1
+            self.plan()
 
     def plan(self) -> None:
+        while self.jobs and self.jobs[0][2] is None:
+            heapq.heappop(self.jobs)
         if self.jobs:
             self.woken += 1
             number, left = self.woken, max(0.0, (self.jobs[0][0] - self.done) / self.pace())
@@ -84,7 +105,11 @@
             return  # planned anew since
         self.advance()
         while self.jobs and self.jobs[0][0] <= self.done + 1:
-            heapq.heappop(self.jobs)[2]()
+            job = heapq.heappop(self.jobs)
+            if job[2] is not None:
+                self.live -= 1
+                what, job[2] = job[2], None
+                what()
         self.plan()
 
     def change(self, rating: float | None = None, slow: float | None = None) -> None:
@@ -94,7 +119,10 @@
 
     def clear(self) -> None:
         self.advance()
+        for job in self.jobs:
+            job[2] = None
         self.jobs.clear()
+        self.live = 0
         self.woken += 1
 
 
@@ -122,6 +150,7 @@
         self.fills: dict[tuple, list] = {}  # under way; who waits for it
         self.link = Shared(self.clock, self.able())
         self.work: deque = deque()  # (when, work) of the last second
+        self.purged: dict[int, int] = {}  # by group (-1: all): copies given out before are not kept
 
     def able(self) -> float:
         """How many transfers run at full pace now: a cold server does little."""
@@ -153,7 +182,7 @@
         self.link.change(rating=self.rating)
 
     def load(self) -> dict:
-        jobs = len(self.link.jobs)
+        jobs = self.link.live
         return {"active": jobs, "cpu": round(min(1.0, jobs / max(0.1, self.link.rating)), 3),
                 "x0": self.counts["hits"], "x1": len(self.fills)}
 
@@ -171,6 +200,8 @@
 
     def keep(self, obj: str, part: int, copy: Copy) -> None:
         self.forget(obj, part)
+        if self.purged and copy.issued < max(self.purged.get(-1, 0), self.purged.get(int(obj[:2], 16), 0)):
+            return  # it was on its way here when the purge came
         while self.held + copy.kb > self.room:
             lowest = next((rows for rows in self.copies[:copy.rank + 1] if rows), None)
             if lowest is None:
@@ -187,6 +218,7 @@
 
     def purge(self, group: int, before: int) -> None:
         """The word of a purge came here: copies of the group (below 0: of all) given out before are dropped."""
+        self.purged[max(-1, group)] = before
         for obj, part in [spot for spot, rank in self.where.items() if self.copies[rank][spot].issued < before
                           and (group < 0 or int(spot[0][:2], 16) == group)]:
             self.forget(obj, part)
@@ -210,7 +242,9 @@
             asked.end(word, note, waited, copy)
 
     def transfer(self, asked: Asked, note: str, waited: int, copy: Copy) -> None:
-        self.link.add(self.time_of(asked.kb), lambda: self.end(asked, "ACK", note, waited, copy))
+        if not asked.over:
+            asked.link = self.link
+            asked.job = self.link.add(self.time_of(asked.kb), lambda: self.end(asked, "ACK", note, waited, copy))
 
     def serve(self, asked: Asked) -> None:
         if asked.over or not self.up:
@@ -340,4 +374,4 @@
         self.link.add(self.takes, ran)
 
     def load(self) -> dict:
-        return {"active": len(self.link.jobs), "cpu": 0.0, "x0": 0, "x1": 0}
+        return {"active": self.link.live, "cpu": 0.0, "x0": 0, "x1": 0}
--- a/fieldspur/lab/play.py
+++ b/fieldspur/lab/play.py
@@ -193,8 +193,8 @@
             node.sample(second)
         load, store = self.load, self.world.store
         self.curve.append({"second": round(second, 2), "open": load.outcomes.open, "fills": store.counts["fills"],
-                           "store": len(store.link.jobs),
-                           "caches": [len(front.model.link.jobs) for front in self.world.fronts.values()
+                           "store": store.link.live,
+                           "caches": [front.model.link.live for front in self.world.fronts.values()
                                       if front.kind == "std"]})
         if self.live is not None:
             self.live(self)
--- a/fieldspur/lab/report.py
+++ b/fieldspur/lab/report.py
@@ -180,7 +180,7 @@
             state = "silent" if model.silent else "down" if not model.up else "cold" if getattr(
                 model, "cold", lambda: False)() else told
             counts = ", ".join(f"{value} {what}" for what, value in model.counts.items() if value)
-            grid.add_row(name, state, f"{len(model.link.jobs)} transfers", counts)
+            grid.add_row(name, state, f"{model.link.live} transfers", counts)
         return grid
 
     @staticmethod
--- a/fieldspur/lab/servers.py
+++ b/fieldspur/lab/servers.py
@@ -37,7 +37,7 @@
     def closed(self, conn: Conn) -> None:
         self.conns.discard(conn)
         for spot in [spot for spot in self.open if spot[0] is conn]:
-            self.open.pop(spot).over = True
+            self.open.pop(spot).give_up()
 
     def data(self, conn: Conn, held: bytearray) -> None:
         try:
@@ -45,7 +45,7 @@
                 if items[0] == b"never_mind":
                     asked = self.open.pop((conn, items[1].decode()), None)
                     if asked is not None:
-                        asked.over = True
+                        asked.give_up()
                 elif items[0] == b"want":
                     self.want(conn, items[1].decode(), items[2].decode())
                 elif items[0] == b"busy" and not self.model.silent:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -184,6 +184,29 @@
     assert [row[0] // MS for row in several] == [1201] * 4  # four where two fit: half the pace
 
 
+def test_what_is_given_up_is_not_sent_on_and_a_purge_binds_what_is_on_its_way():
+    """Found at large size: transfers that nobody waited for kept a cache crowded, and a late fill brought an old copy."""
+    clock = far.Clock(0)
+    made = server(clock, rating=1.0)
+    made.keep("aa", 0, model.Copy(0, 100.0, 2))
+    first, ended = [], []
+    for n in range(3):
+        first.append(model.Asked("pages", "aa", 0, 100.0, None, None, 2, 0, False, True, True,
+                                 lambda *about: ended.append(clock.now() // MS)))
+        made.ask(first[-1])
+    clock.run(50 * MS)
+    first[0].give_up()
+    first[1].give_up()
+    assert made.link.live == 1
+    clock.run(SECOND)
+    assert ended == [50 + 85] and made.link.live == 0  # 49 ms at a third of the pace, the rest at all of it
+    made.purge(-1, 10)
+    made.keep("aa", 0, model.Copy(5, 100.0, 2))
+    assert made.find("aa", 0, 0) is None
+    made.keep("aa", 0, model.Copy(15, 100.0, 2))
+    assert made.find("aa", 0, 0) is not None
+
+
 def test_concurrent_misses_join_one_fill_and_a_rank_protects_what_it_holds():
     clock = far.Clock(0)
     made = server(clock, rating=50.0)
