An error in the Router ends the program whatever thread it fell on

Since any thread may be the one in the Router, a board's or a reader's own handling of ValueError or OSError could have swallowed a failure there and gone on with half a decision. It is fatal again, as it was in a thread of its own. A test plays restarts, a move of the board and slow and bad clients at once.

--- a/fieldspur/net/route.py
+++ b/fieldspur/net/route.py
@@ -4,6 +4,7 @@
 
 import itertools
 import logging
+import sys
 import threading
 import time
 from collections import deque
@@ -103,6 +104,9 @@
                     done = self.outbox
                     if done:
                         self.outbox = []
+                except Exception:  # whatever the thread it fell on would make of it: a Router that failed serves nobody
+                    threading.excepthook(threading.ExceptHookArgs((*sys.exc_info(), threading.current_thread())))
+                    raise
                 finally:
                     lock.release()
                 for lane, txn, answer in done:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -371,3 +371,16 @@
 def test_a_router_that_does_not_come_up_is_reported():
     with pytest.raises(play.LabFailed, match="did not come up"):
         play.play(small(seconds=2, faults=[]), command=[sys.executable, "-c", "raise SystemExit(3)"])
+
+
+def test_restarts_and_moves_under_load_with_slow_and_bad_clients_lose_nothing():
+    """SIGTERM and SIGHUP while answers of 100 KB wait for clients that read 4 KB a second."""
+    plan = small(seconds=6, routers=2, load=SMALL["load"] | {
+        "bad_clients": 8, "slow_clients": 2, "classes": [
+            {"rule": "pages", "rate": 60, "kb": 250, "objects": 30, "bytes_a_kb": 400}, SMALL["load"]["classes"][1],
+            SMALL["load"]["classes"][2]]}, faults=[
+        {"at": 1.5, "what": "router_restart", "who": "0"}, {"at": 2.5, "what": "reload"},
+        {"at": 3.2, "what": "drain", "who": "cache-1"}, {"at": 4, "what": "board_break"}])
+    found = play.play(plan)
+    assert found["passed"], found["missed"]
+    assert found["completed"] > 0.8 and found["bad_clients"]["sent"] > 10 and not found["bad_clients"]["no_end"]
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -331,7 +331,8 @@
         assert mine == sorted(mine), "events of one thread in another order"
 
 
-def test_a_second_caller_in_the_router_is_noticed():
+def test_a_second_caller_in_the_router_is_noticed(monkeypatch):
+    monkeypatch.setattr(threading, "excepthook", lambda args: None)
     route = plain_route()
     route.caller = 1
     with pytest.raises(AssertionError):
@@ -422,6 +423,18 @@
     assert not double and not both and not none and not book.open and relay.done() and not holding.broken
 
 
+def test_an_error_in_the_router_is_fatal_whatever_its_kind_and_thread(monkeypatch):
+    """A board's thread takes ValueError for a bad line, a reader's OSError for a broken connection."""
+    route, told = plain_route(), []
+    monkeypatch.setattr(threading, "excepthook", lambda args: told.append((args.exc_type, args.thread)))
+    for wrong in (ValueError, OSError):
+        route.caller = None
+        with pytest.raises(wrong):
+            route.post(lambda: (_ for _ in ()).throw(wrong("in there")))
+    assert told == [(ValueError, threading.current_thread()), (OSError, threading.current_thread())]
+    assert not route.lock.locked()
+
+
 def test_a_txn_given_up_inside_the_call_that_started_it_is_answered_by_that_thread_at_once():
     route = plain_route()
     here, there = socket.socketpair()
