--- a/fieldspur/cli.py
+++ b/fieldspur/cli.py
@@ -175,21 +175,35 @@
 
 
 @lab.command("compare")
-@click.argument("name")
-@click.option("--build", "builds", multiple=True, required=True, type=click.Path(exists=True, file_okay=False),
-              help="A checkout to run beside this one, or two of them.")
+@click.argument("first", type=click.Path(exists=True))
+@click.argument("second", type=click.Path(exists=True))
+@click.option("--scenario", "name", default="market", show_default=True, help="What builds play, with the same seed and plan.")
 @click.option("--report", type=click.Path(file_okay=False), help="Write an HTML report with plots into this folder.")
 @click.option("--json", "as_json", is_flag=True)
-def lab_compare(name, builds, report, as_json) -> None:
-    """Play one scenario with two builds, one after the other, with the same seed and plan."""
+def lab_compare(first, second, name, report, as_json) -> None:
+    """Set two side by side, each a checkout of fieldspur, which plays the scenario, or a run: figures of `lab run --json`,
+    or a report's folder. Code 1 where one of them broke a rule or an expectation."""
     from fieldspur.lab import play, report as reporting
 
     plan = scenario_of(name)
-    if plan.far is not None:
-        raise Bad(f"{name}: plays in simulated time, which knows one build only")
-    chosen = list(builds) if len(builds) > 1 else [None, builds[0]]
+
+    def figures(where: str) -> dict:
+        path = Path(where)
+        if (path / "fieldspur").is_dir():
+            if plan.far is not None:
+                raise Bad(f"{name}: plays in simulated time, which knows one build only")
+            return play.play(plan, build=where)
+        try:
+            found = json.loads((path / "figures.json" if path.is_dir() else path).read_text())
+            found = found[0] if isinstance(found, list) else found
+            if not {"scenario", "classes", "missed"} <= set(found):
+                raise ValueError
+        except (OSError, ValueError, IndexError, TypeError):
+            raise Bad(f"{where}: neither a checkout nor a run's figures") from None
+        return found
+
     try:
-        found = [play.play(plan, build=build) for build in chosen]
+        found = [figures(first), figures(second)]
     except play.LabFailed as wrong:
         raise click.ClickException(str(wrong)) from None
     if report:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -12,6 +12,10 @@
 
 from fieldspur.decide import MS, SECOND, Collapsing, Fleet, Purges, Router
 from fieldspur.host import HIT, JOINED, NEVER_RAN, PAST_FRESH, RemapRule
+from fieldspur.net.book import Book
+from fieldspur.net.relay import Relay
+from fieldspur.net.send import Send
+from fieldspur.site import deployment
 
 COLD, RAMP, MULTIPLE, SPAN = 0.2, 10 * SECOND, 2.0, SECOND
 GONE_EVERYWHERE = 6 * SECOND
@@ -399,3 +403,29 @@
     def end(self):
         self.process.terminate()
         return self.process.wait(20)
+
+
+class Events:
+    """In place of route: keeps what is posted."""
+
+    hop_ended = "hop_ended"
+
+    def __init__(self):
+        self.posted = []
+
+    def post(self, what, *about):
+        self.posted.append(about)
+
+    def gather(self):
+        pass
+
+    handle = gather
+
+
+def sender(address, state="up", lanes=4):
+    relay, book = Relay(1 << 20), Book()
+    send = Send(deployment(settings()), book, relay, lanes)
+    send.route = Events()
+    host, port = address.split(":")
+    send.listed("c0", (host, int(port)), state)
+    return send
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -357,6 +357,12 @@
     page = report.write(tmp_path / "out", [whole, broken[3]]).read_text()
     assert page.count("<img") == 5 and "rule 3" in page and "cache" in page
     assert json.loads((tmp_path / "out" / "figures.json").read_text())[0]["txns"] == whole["txns"]
+    (tmp_path / "one.json").write_text(json.dumps(broken[3]))
+    done = CliRunner().invoke(main, ["lab", "compare", str(tmp_path / "out"), str(tmp_path / "one.json")])
+    assert done.exit_code == 1 and done.output.count("pages worth") == 1 and "kept" in done.output
+    (tmp_path / "bad.json").write_text("[]")
+    done = CliRunner().invoke(main, ["lab", "compare", str(tmp_path / "out"), str(tmp_path / "bad.json")])
+    assert done.exit_code == 2 and "bad.json" in done.output
     assert "pages worth" in report.side_by_side([whole, broken[3]]) and "missed: rule 3" in report.text(broken[3])
 
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -27,7 +27,7 @@
 from fieldspur.net.wheel import NEVER, SHIFT, Wheel
 from fieldspur.net.window import Window
 from fieldspur.site import MS, deployment
-from helpers import Cache, Listener, settings, until
+from helpers import Cache, Listener, sender, settings, until
 
 ROOT = Path(__file__).parents[1]
 
@@ -135,31 +135,6 @@
 
 # One connection to a server.
 
-class Posted:
-    """In place of route: keeps what is posted."""
-
-    hop_ended = "hop_ended"
-
-    def __init__(self):
-        self.posted = []
-
-    def post(self, what, *about):
-        self.posted.append(about)
-
-    def gather(self):
-        pass
-
-    handle = gather
-
-
-def sender(address):
-    send = Send(deployment(settings()), Book(), Relay(1 << 20), 4)
-    send.route = Posted()
-    host, port = address.split(":")
-    send.listed("c0", (host, int(port)), "up")
-    return send
-
-
 def want(name, body=b""):
     return resp.Want(name, "media", "0" * 16, 0, 3000, None, None, 0, 0, False, False, True, None, body)
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -26,7 +26,7 @@
 from fieldspur.net.send import Hop, Send
 from fieldspur.net.takein import Client as ClientSide, encode
 from fieldspur.site import MS, deployment, read_node
-from helpers import Cache, Client, Listener, Notices, Service, endpoint, settings, until
+from helpers import Cache, Client, Events, Listener, Notices, Service, endpoint, sender, settings, until
 
 ACK = ("ACK", "entity=e,issued=1,tell=TCP_HIT", b"bytes")
 
@@ -475,32 +475,6 @@
     assert done.stdout.decode().strip() == "True False False {'b': 2}" and b"event=broken" in done.stderr
 
 
-class Events:
-    """In place of route: keeps what is posted."""
-
-    hop_ended = "hop_ended"
-
-    def __init__(self):
-        self.posted = []
-
-    def post(self, what, *about):
-        self.posted.append(about)
-
-    def gather(self):
-        pass
-
-    handle = gather
-
-
-def sender(address, state="up", lanes=4):
-    relay, book = Relay(1 << 20), Book()
-    send = Send(deployment(settings()), book, relay, lanes)
-    send.route = Events()
-    host, port = address.split(":")
-    send.listed("c0", (host, int(port)), state)
-    return send
-
-
 def probe(send, name="busy-1"):
     return go(send, Hop(0, 1, name, "c0", None, None, time.time_ns()))
 
