--- a/fieldspur/lab/check.py
+++ b/fieldspur/lab/check.py
@@ -13,7 +13,6 @@
 SLACK = 50 * MS  # that the protocol adds to each time limit
 OWN = 60 * MS  # a txn's way through this process, which plays all other parties in one thread
 DRAIN_GRACE, PURGE_GRACE = 250 * MS, 500 * MS
-TOLD_LATE = 4 * SECOND  # what a board that breaks has to tell counts as told so much later
 NEVER_RAN = ("NOENT", "AGAIN", "STALE")
 MOST_KEPT = 200  # violations of one rule that are kept in full
 
--- a/fieldspur/lab/play.py
+++ b/fieldspur/lab/play.py
@@ -15,6 +15,7 @@
 
 from fieldspur.bench import plain
 from fieldspur.bench.path import ROOT, free_port, usage
+from fieldspur.lab import wire
 from fieldspur.lab.check import SECOND, Checker
 from fieldspur.lab.load import Load
 from fieldspur.lab.loop import Loop
@@ -63,7 +64,7 @@
     def ready(self) -> bool:
         try:
             with socket.create_connection(self.address, timeout=1) as sock:
-                sock.sendall(b"\0\0\0\6\x50\0\0\0\1\0")
+                sock.sendall(wire.ask_ready(1))
                 sock.settimeout(1)
                 return sock.recv(100)[9:10] == b"\x4f"
         except OSError:
