Unsized hops get patience for their spread; sending times learned without notes

Ruled out: cold budgets alone (the ejections begin before the release at 12 s). At fault: Router.learn (hits only) and Router.patience (no room for sizes that vary widely).

Change: where sizes are not told, a completed hop teaches the rule's sending time when notes are never given (any answer stands in for a hit), and its mean deviation; patience of an unsized hop adds 3 times that deviation (TAIL). Might hurt: a truly silent box is found later, by up to 3 deviations of its rule.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -38,6 +38,7 @@
 CROWD_STEP, PACE_STEP = 0.15, 0.4  # weight of one cache's crowd in the usual one, of one hit's in a cache's
 FILL_PACE, PROBE_GAP, SEEN_LAG = 2.5, 400 * MS, 1.15  # a fill's pace over a client's; probes; seen late
 FIRST_WORK, FIRST_BYTE, LEARN = 400 * MS, 80 * MS, 0.05  # before any is learned; weight of one sample
+TAIL = 3.0  # where sizes are not told, a hop may take the usual time and so many times its spread
 
 
 @dataclass(slots=True, eq=False)
@@ -387,6 +388,7 @@
         self.collapsing, self.kb_per_s, self.hop_limit, self.joins = collapsing, kb_per_s, hop_limit, joins
         self.probes, self.cancels, self.longest_come_back = probes, cancels, longest_come_back
         self.works = [float(FIRST_WORK)] * len(rules)  # mean sending times, learned
+        self.spreads = [FIRST_WORK / 2] * len(rules)  # their mean deviation, where sizes are not told
         self.mean_work, self.mean_importance = float(FIRST_WORK), 1.0
         self.first_byte_after, self.first_byte_spread = float(FIRST_BYTE), FIRST_BYTE / 2
         self.txns, self.alarms = {}, {}  # by number; by label
@@ -597,9 +599,11 @@
                 slow = (took - (20 * MS if note == HIT else 2 * DUE_WAIT)) / hop.work
                 self.fleet.saw(server, max(0.0, was + (max(slow, min(was, 1.0)) - was) * PACE_STEP), now)
                 self.fleet.transferred(server, hop.work, took, beside)
-            elif note == HIT and not txn.sized:  # what a hit took, less what others took of it
-                alone = max(0, took - 20 * MS) * min(1.0, server.fits / beside)
-                self.works[txn.rule_at] += (alone - self.works[txn.rule_at]) * LEARN
+            elif not txn.sized and (note == HIT or not self.notes):  # what a hit took, less what others took
+                alone = max(0, took - 20 * MS) * min(1.0, server.fits / beside)  # no notes: any answer stands in
+                off = alone - self.works[txn.rule_at]
+                self.works[txn.rule_at] += off * LEARN
+                self.spreads[txn.rule_at] += (abs(off) - self.spreads[txn.rule_at]) * LEARN
             if hop.filling and note:
                 self.fleet.miss_share += ((note in FILLS) - self.fleet.miss_share) * LEARN
             if note in FILLS and source is not None:
@@ -628,8 +632,10 @@
 
     def patience(self, hop: Hop, now: int) -> int:
         """How long a server may stay silent with this hop out, the more the more it has to do."""
+        txn = self.txns.get(hop.txn)  # unsized: one of many sizes, and the large ones take longer
+        tail = TAIL * self.spreads[txn.rule_at] if txn is not None and not txn.sized else 0.0
         return int(QUIET_LEAST
-                   + QUIET_TIMES * (self.fleet.hit_time(hop, now) + self.first_byte_after))
+                   + QUIET_TIMES * (self.fleet.hit_time(hop, now) + tail + self.first_byte_after))
 
     def hop_due(self, hop: Hop) -> None:
         """Guards against caches that answer nothing, and sources that send nothing while others do."""
