--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -38,7 +38,7 @@
 CROWD_STEP, PACE_STEP = 0.15, 0.4  # weight of one cache's crowd in the usual one, of one hit's in a cache's
 FILL_PACE, PROBE_GAP, SEEN_LAG = 2.5, 400 * MS, 1.15  # a fill's pace over a client's; probes; seen late
 FIRST_WORK, FIRST_BYTE, LEARN = 400 * MS, 80 * MS, 0.05  # before any is learned; weight of one sample
-TAIL = 3.0  # where sizes are not told, a hop may take the usual time and so many times its spread
+TAIL = 6.0  # where sizes are not told, a hop may take the usual time and so many times its spread
 
 
 @dataclass(slots=True, eq=False)
