Learning without notes is bound to familyInfo.says; a watch mode counts where it would differ

Now the module reads `familyInfo.says` (checked in site.py, `all` by default: the old behaviour where notes come) and `settings.shape` (`as-told` by default, or `watch`: decide as where notes are told, and count in Router.differs).

--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -84,7 +84,8 @@
             **self.book.counts, "open": len(self.book.open), "clients": len(self.takein.clients),
             "lanes": self.send.count(), "threads": threading.active_count(),
             "lag_ms": lag // MS, "pause_ms": int(pause * 1000), "held": self.relay.held, "too_much": self.relay.too_much, "cpu": time.process_time(), "system": os.times().system,
-            "broken": sum(holds.broken.values())}})
+            "broken": sum(holds.broken.values()),
+            **{f"shape_{kind}": n for kind, n in self.route.router.differs.items()}}})
 
     def reload(self) -> None:
         """Read the files again. One that can't be used changes nothing, nor does what a running router keeps."""
--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -32,13 +32,12 @@
 ORIGIN_STEP, ORIGIN_LIMIT = 0.2, 0.35  # the same for the origin: above this it counts as failing,
 ORIGIN_TRY, SLOW_TIMES = 0.2, 3.0  # ... and so few fills may ask it at the least; late: times its usual wait
 EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND  # ejection, doubling each time
-QUIET_LEAST, QUIET_TIMES, ALONE = 300 * MS, 1.5, 2.0  # silence: this, and times a hop's due; one hop's
+QUIET_LEAST, QUIET_TIMES, ALONE, TAIL = 300 * MS, 1.5, 2.0, 6.0  # silence; times due; one hop's; spreads
 RETRY_SHARE, RETRY_MOST, ERRORS_MOST = 0.3, 20.0, 3  # further hops a txn; saved up; errors that end a txn
 SEEN_SPAN, TOLD_SPAN, BUSY = 4 * SECOND, 1500 * MS, 0.85  # how long crowding seen counts; told; a busy cache
 CROWD_STEP, PACE_STEP = 0.15, 0.4  # weight of one cache's crowd in the usual one, of one hit's in a cache's
 FILL_PACE, PROBE_GAP, SEEN_LAG = 2.5, 400 * MS, 1.15  # a fill's pace over a client's; probes; seen late
 FIRST_WORK, FIRST_BYTE, LEARN = 400 * MS, 80 * MS, 0.05  # before any is learned; weight of one sample
-TAIL = 6.0  # where sizes are not told, a hop may take the usual time and so many times its spread
 
 
 @dataclass(slots=True, eq=False)
@@ -381,8 +380,9 @@
 
     def __init__(self, host: Host, seed: int, rules: list[RemapRule], fleet: Fleet, purges: Purges,
                  collapsing: Collapsing, kb_per_s: float, hop_limit: int, joins: bool, probes: bool,
-                 cancels: bool, longest_come_back: int):
+                 cancels: bool, longest_come_back: int, noteless: bool = False, watch: bool = False):
         self.host, self.rules, self.fleet, self.purges = host, rules, fleet, purges
+        self.noteless, self.watch, self.differs = noteless, watch, {"noteless": 0}  # watched: counted only
         self.random, fleet.log = random.Random(seed), host.log
         fleet.random = self.random
         self.collapsing, self.kb_per_s, self.hop_limit, self.joins = collapsing, kb_per_s, hop_limit, joins
@@ -599,8 +599,8 @@
                 slow = (took - (20 * MS if note == HIT else 2 * DUE_WAIT)) / hop.work
                 self.fleet.saw(server, max(0.0, was + (max(slow, min(was, 1.0)) - was) * PACE_STEP), now)
                 self.fleet.transferred(server, hop.work, took, beside)
-            elif not txn.sized and (note == HIT or not self.notes):  # what a hit took, less what others took
-                alone = max(0, took - 20 * MS) * min(1.0, server.fits / beside)  # no notes: any answer stands in
+            elif not txn.sized and (note == HIT or self.noteless and self.learns_noteless()):
+                alone = max(0, took - 20 * MS) * min(1.0, server.fits / beside)  # less what others took of it
                 off = alone - self.works[txn.rule_at]
                 self.works[txn.rule_at] += off * LEARN
                 self.spreads[txn.rule_at] += (abs(off) - self.spreads[txn.rule_at]) * LEARN
@@ -630,12 +630,15 @@
         elif result in ("full", "missing", "cancelled") and not hop.alone:
             txn.avoid.add((source if result == "missing" and source in self.fleet.caches else server).name)
 
+    def learns_noteless(self) -> bool:  # where answers carry no notes, any completed one stands in for a hit
+        self.differs["noteless"] += 1
+        return not self.watch
+
     def patience(self, hop: Hop, now: int) -> int:
         """How long a server may stay silent with this hop out, the more the more it has to do."""
-        txn = self.txns.get(hop.txn)  # unsized: one of many sizes, and the large ones take longer
+        txn = self.txns.get(hop.txn)  # unsized: one of many sizes; TAIL spreads more for the large ones
         tail = TAIL * self.spreads[txn.rule_at] if txn is not None and not txn.sized else 0.0
-        return int(QUIET_LEAST
-                   + QUIET_TIMES * (self.fleet.hit_time(hop, now) + tail + self.first_byte_after))
+        return int(QUIET_LEAST + QUIET_TIMES * (self.fleet.hit_time(hop, now) + tail + self.first_byte_after))
 
     def hop_due(self, hop: Hop) -> None:
         """Guards against caches that answer nothing, and sources that send nothing while others do."""
--- a/fieldspur/site.py
+++ b/fieldspur/site.py
@@ -132,7 +132,9 @@
     router = dict(
         kb_per_s=pace, hop_limit=may.whole("sendCap"), joins=info.flag("mergesFills"), probes=may.flag("probes"),
         cancels=may.flag("cancel"),
-        longest_come_back=may.whole("maxRetryAfterUs") * US if may.flag("retryAfter") else 0)
+        longest_come_back=may.whole("maxRetryAfterUs") * US if may.flag("retryAfter") else 0,
+        noteless=info.chosen("says", {"all": False, "hit": False, "none": True}, "all"),
+        watch=conf.chosen("shape", {"as-told": False, "watch": True}, "as-told"))
     return Deployment(
         rules, [row.text("name", "") for row in rows], conf.row("areas", str, "names"),
         conf.row("kinds", str, "names"),
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -132,7 +132,9 @@
     ("guarantees", 3, "settings.guarantees: not an object"), ("allowed.probes", 1, "settings.allowed.probes: not true"),
     ("classes", [{"name": "a"}], "settings.familyInfo.neverKept: 2 values"),
     ("guarantees.overloadForUs", 0, "settings.guarantees.overloadForUs: below 1"),
-    ("areas", [1], "settings.areas: not a list of names")])
+    ("areas", [1], "settings.areas: not a list of names"),
+    ("familyInfo.says", "some", "settings.familyInfo.says: none of all, hit, none"),
+    ("shape", "look", "settings.shape: none of as-told, watch")])
 def test_a_faulty_key_is_named(path, value, said):
     conf = copy.deepcopy(settings())
     *way, last = path.split(".")
@@ -178,3 +180,12 @@
             if flood.filter(record):
                 lines.append(getattr(record, "kv", {}))
     assert len(lines) == 2 * MOST_A_SECOND and lines[MOST_A_SECOND] == {"left_out": 5} and lines.count({}) == 39
+
+
+def test_the_new_shape_is_read_with_defaults_that_keep_the_old_one():
+    conf = copy.deepcopy(settings())
+    conf.pop("shape", None)
+    conf["familyInfo"].pop("says", None)
+    assert (deployment(conf).router["noteless"], deployment(conf).router["watch"]) == (False, False)
+    conf["familyInfo"]["says"], conf["shape"] = "none", "watch"
+    assert (deployment(conf).router["noteless"], deployment(conf).router["watch"]) == (True, True)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -77,6 +77,34 @@
     assert day.router.works[1] < 100 * MS < day.router.works[0]
 
 
+def test_sending_times_are_learned_from_answers_without_notes_and_only_counted_when_watched():
+    """Found on mizan-offices: no sizes, no notes, and both rules kept the first guess of 400 ms."""
+    for noteless, watch in ((False, False), (True, False), (True, True)):
+        day = Referee(rules=[rule(), rule()])
+        day.router.noteless, day.router.watch = noteless, watch
+        for ident in range(100):
+            day.arrive(ident, 1, obj=f"o{ident}", kb=0.0)
+            day.pass_time(60 * MS)
+            day.end(ident, "completed")
+        learned = day.router.works[1] < 100 * MS
+        assert learned == (noteless and not watch)
+        assert day.router.differs["noteless"] == (100 if noteless else 0)
+
+
+def test_a_large_unsized_object_does_not_pass_for_silent():
+    """Found on mizan-offices: after a flush, boxes filling large archives were ejected as silent."""
+    day = Referee(rules=[rule(), rule()])
+    day.router.noteless = True
+    for ident in range(200):
+        day.arrive(ident, 1, obj=f"o{ident}", kb=0.0)
+        day.pass_time((100 if ident % 2 else 900) * MS)
+        day.end(ident, "completed")
+    day.arrive(500, 1, obj="large", kb=0.0)
+    day.pass_time(3 * SECOND)
+    assert len(day.hops(500)) == 1 and day.hops(500)[0]["out"]
+    day.end(500, "completed")
+
+
 def test_a_silent_server_is_left_and_its_hops_move_on():
     day = Referee()
     day.arrive(0)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -638,3 +638,19 @@
     route.work(0)
     assert hop.ended and not route.book.open and left[-2] == 1 and time.time_ns() >= now + 100 * MS
     assert there.recv(100)[9] == 66
+
+
+def test_watching_the_new_shape_answers_as_before_and_counts_where_it_would_differ(run):
+    """Before operators switch to a deployment without notes, they watch: the router decides as told, and counts."""
+    conf = settings()
+    conf["familyInfo"]["says"], conf["shape"] = "none", "watch"
+    cache = Cache(lambda want: ("ACK", "entity=e,issued=1", b"bytes"))
+    service = run(cache, settings=conf)
+    client = service.client()
+    for stream in range(1, 4):
+        client.ask(stream, drop=("ram",))
+        assert client.get()[1:3] == (stream, 79)
+    service.process.terminate()
+    assert service.process.wait(20) == 0
+    ended = next(line for line in service.lines().splitlines() if "event=ended" in line)
+    assert "shape_noteless=3" in ended
