--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -21,7 +21,7 @@
 OUTER_WAIT, MOST_WAITERS = 3 * SECOND, 64  # the source's lock time-out bounds any wait; list of one part
 KEPT_RANK, ORDERS_MOST, OBJECT_HOMES = 2, 4096, 0.25  # above the lowest; kept; share that homes objects whole
 COLD_USE = 0.45  # share of a cold server's budget that all routers together are to use in a span
-ROUGH_RATING, LEAST_RATE = 0.7, 0.03  # a rough size may be so much too large; transfers where none is known
+LEAST_RATE = 0.03  # transfers a second that a cold server may take where nothing tells its size
 SPILL, SPILL_NEAR, SPILL_GAIN = 2.0, 1.3, 0.6  # crowd at which home spreads (NEAR: supplies it)
 CROWD_LEAST, CROWD_MOST = 1.25, 2.1  # admission: hops over what fits, for a txn of little worth; most on top
 FITS_FIRST, FITS_STEP, LANES = 4.0, 0.1, 4  # transfers that fit, a step; connections where they break
@@ -149,7 +149,7 @@
                  parent_share: float, cache_cold: tuple, parent_cold: tuple, fall_span: int, link: float,
                  siblings: bool):
         self.zone, self.parent_kind, self.origin_kind = zone, parent_kind, origin_kind
-        self.size_trust = {"nominal": 1.0, "rough": ROUGH_RATING}.get(sized, 0.0)
+        self.size_trust = 1.0 if sized == "nominal" else 0.0
         self.cold = {False: (cache_share, *cache_cold), True: (parent_share, *parent_cold)}
         self.fall_span, self.siblings = fall_span, siblings
         self.share, self.random, self.log = cache_share, random.Random(0), print  # the Router's own
