--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -186,6 +186,8 @@
     conf = copy.deepcopy(settings())
     conf.pop("shape", None)
     conf["familyInfo"].pop("says", None)
-    assert (deployment(conf).router["noteless"], deployment(conf).router["watch"]) == (False, False)
+    router = deployment(conf).router
+    assert (router["noteless"], router["watch"]) == (False, False)
     conf["familyInfo"]["says"], conf["shape"] = "none", "watch"
-    assert (deployment(conf).router["noteless"], deployment(conf).router["watch"]) == (True, True)
+    router = deployment(conf).router
+    assert (router["noteless"], router["watch"]) == (True, True)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -17,7 +17,7 @@
 from fieldspur.host import RESULTS
 from fieldspur.net import holds as holding, resp
 from fieldspur.net.admit import Admit
-from fieldspur.net.board import Board, ListChange, Listed
+from fieldspur.net.board import Board, Gap, ListChange, Listed
 from fieldspur.net.book import Answer, Book, Txn
 from fieldspur.net.frames import Request
 
@@ -650,18 +650,16 @@
     for stream in range(1, 4):
         client.ask(stream, drop=("ram",))
         assert client.get()[1:3] == (stream, 79)
-    service.process.terminate()
-    assert service.process.wait(20) == 0
+    assert service.end() == 0
     ended = next(line for line in service.lines().splitlines() if "event=ended" in line)
     assert "shape_noteless=3" in ended
 
 
-
 def test_the_board_is_caught_up_only_once_it_says_a_last_number_that_the_router_has():
     """Found on herd+mass: restarted routers were ready on their file's list and named a draining parent 7 ms later."""
     board = Board(("127.0.0.1", 1), None, 1)
     board.last = 5
-    with pytest.raises(Exception):
+    with pytest.raises(Gap):
         board.line(b"7")  # events 6 and 7 are missing
     assert not board.current.is_set()
     board.line(b"5")
