fleet/work, fleet/plan: machines go out for work in an order the routers settle; off by default

Until now routers settled only who acts.

The agreed value is a document of orders: waiting, next, going, out, free, back. Who acts makes its successor from what members ask for and tell (`work.py`), by a plan within bounds on capacity as seen (`plan.py`). A router may use what is announced or drains only by a lease on the list (`listed.py`), so one that is cut off or was stopped keeps off what may have gone; `out` is decided only when each has said it goes by `going`, or its lease has ended. `free` when each has said that nothing is open there. `unsure` chooses between serving (orders wait for who was not told) and turning away (they wait for nobody). `overlay.py` shows the router what is out as draining and what is back as cold; the decision module is untouched. `fieldspur fleet show`, `fleet work add|drop|hold|go|back`.

It might hurt where a fleet's `unsure` is turn_away and it was never founded: such routers turn all away.

--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -51,18 +51,22 @@
         # connection to a server takes up to 0.6 MB, as measured: together they get under a third of the memory.
         self.send = Send(site, self.book, self.relay, min(node.sockets // 4, node.memory // LANE_MEMORY))
         self.route = Route(site, node.seed, self.book, self.relay, self.send)
-        self.board = self.send.board = Board(node.board, self.route, node.seed)
+        overlay = None
+        if wishes.fleet.name:  # off by default; only then is any of it imported
+            if node.name not in wishes.fleet.members:
+                raise BadFile(f"fleet.members: {node.name}, this router, is not among them")
+            from fieldspur.fleet.overlay import Overlay
+            overlay = Overlay(self.route)
+        self.board = self.send.board = Board(node.board, overlay or self.route, node.seed)
         self.board.begin(node.known, node.known_to)
         self.takein = TakeIn(node.listen, node.sockets // 2, int(node.memory * share.frames), site.idle_close,
                              Admit(site, self.book, self.route, int(node.memory * share.bodies)), self.book, self.route,
                              self.relay)
         self.talk = None
-        if wishes.fleet.name:  # off by default; only then is any of it imported
-            if node.name not in wishes.fleet.members:
-                raise BadFile(f"fleet.members: {node.name}, this router, is not among them")
+        if overlay is not None:
             from fieldspur.fleet.talk import NotKept, Talk
             try:
-                self.talk = Talk(wishes.fleet, node.name, node.seed)
+                self.talk = Talk(wishes.fleet, node.name, node.seed, overlay)
             except NotKept as wrong:
                 raise BadFile(f"fleet.folder: {wrong}") from None
             except OSError as wrong:
@@ -84,9 +88,12 @@
             threading.stack_size(DEEP_STACK)
             self.talk.start()
             threading.stack_size(STACK)
+        began = time.monotonic()
         told = self.board.current.wait(wait)
         if not told:
             self.board.excused = self.board.heard
+        if self.talk is not None and not self.talk.known.wait(max(0.0, wait - (time.monotonic() - began))):
+            log.warning("fleet_unheard", extra={"kv": {"why": "no member told what is out for work; the board's list stands"}})
         self.route.post(self.route.open, "current" if told else "no word of the board")
         self.takein.ready = True
 
@@ -124,12 +131,14 @@
         self.board.move(node.board, node.known)
         kept = differences(self.node, node)
         kept += [key for key in ("memory", "interpreter", "start") if getattr(wishes, key) != getattr(self.wishes, key)]
-        fleet, first = self.wishes.fleet, wishes.fleet.first
-        if replace(fleet, first=first) != wishes.fleet:
+        fleet = replace(self.wishes.fleet, first=wishes.fleet.first, work=wishes.fleet.work)
+        if fleet != wishes.fleet:
             kept.append("fleet")
-        if self.talk is not None and first and not fleet.first:  # an operator's word, not one left in the file
-            self.talk.found()
-        self.wishes = replace(self.wishes, log=wishes.log, counts=wishes.counts, fleet=replace(fleet, first=first))
+        if self.talk is not None:
+            if fleet.first and not self.wishes.fleet.first:  # an operator's word, not one left in the file
+                self.talk.found()
+            self.talk.wish(fleet.work)
+        self.wishes = replace(self.wishes, log=wishes.log, counts=wishes.counts, fleet=fleet)
         logs.begin(level_of(node, wishes), wishes.log.lines_a_second)
         log.log(logging.WARNING if kept else logging.INFO, "reloaded", extra={"kv": {
             "board": "%s:%d" % node.board, "unchanged": ",".join(kept) or "-"}})
--- a/fieldspur/cli.py
+++ b/fieldspur/cli.py
@@ -257,6 +257,146 @@
     raise SystemExit(0 if found["passed"] else 1)
 
 
+def operators_option(command):
+    return click.option("--operators", "file", envvar="LB_OPERATORS", required=True, type=click.Path(dir_okay=False),
+                        help="The operators' file of a router; LB_OPERATORS without it.")(command)
+
+
+def asking(command):
+    """What commands that change something have in common."""
+    for option in (
+            click.option("--pid", type=int, help="The router's process; found by its LB_OPERATORS without it."),
+            click.option("--wait", type=click.FloatRange(0, 600), default=10.0, show_default=True,
+                         help="Seconds for the fleet to agree; 0: do not wait.")):
+        command = option(command)
+    return operators_option(command)
+
+
+def desk_of(file: str):
+    from fieldspur.fleet import desk
+    from fieldspur.operators import BadFile
+
+    try:
+        return desk, Path(file), desk.read(Path(file))[1]
+    except BadFile as wrong:
+        raise Bad(f"{file}: {wrong}") from None
+
+
+@main.group()
+def fleet() -> None:
+    """What routers settle among themselves."""
+
+
+@fleet.command("show")
+@operators_option
+@click.option("--json", "as_json", is_flag=True)
+def fleet_show(file, as_json) -> None:
+    """Each member as it publishes itself. Code 1 where none acts."""
+    desk, _, wishes = desk_of(file)
+    found = desk.members(wishes)
+    acts = desk.acting(found)
+    rows = [{"member": name, "why": one} if isinstance(one, str) else {
+        "member": name, "zone": one.zone, "acts": name == acts, "counts": one.life > 0, "life": one.life,
+        "document": one.work.number, "goes_by": one.report.holds if one.report else None,
+        "in_doubt": one.report.doubt if one.report else None} for name, one in found.items()]
+    if as_json:
+        click.echo(json.dumps(rows))
+    else:
+        click.echo(f"{'member':16}{'zone':12}{'acts':6}{'counts':8}{'document':10}{'goes by':9}in doubt")
+        for row in rows:
+            if "why" in row:
+                click.echo(f"{row['member']:16}{row['why']}")
+            else:
+                yes = {True: "yes", False: "no", None: "-"}
+                click.echo(f"{row['member']:16}{row['zone']:12}{yes[row['acts']]:6}{yes[row['counts']]:8}{row['document']:<10}"
+                           f"{'-' if row['goes_by'] is None else row['goes_by']:<9}{yes[row['in_doubt']]}")
+    raise SystemExit(0 if acts else 1)
+
+
+@fleet.group("work")
+def fleet_work() -> None:
+    """Machines that are taken out for work."""
+
+
+@fleet_work.command("show")
+@operators_option
+@click.option("--json", "as_json", is_flag=True)
+def work_show(file, as_json) -> None:
+    """Orders as the fleet agreed on them, and how the last ones ended."""
+    desk, _, wishes = desk_of(file)
+    document = desk.latest(desk.members(wishes))
+    if as_json:
+        return click.echo(json.dumps({"number": document.number, "orders": [one._asdict() for one in document.orders],
+                                      "ended": [one._asdict() for one in document.ended]}))
+    for one in document.orders:
+        click.echo(f"{one.machine:20}{one.state:10}{one.ident:28}{one.by:12}{one.note}".rstrip())
+    for ended in document.ended[-10:]:
+        click.echo(f"{ended.machine:20}{ended.how:10}{ended.ident:28}{ended.why}".rstrip())
+    if not document.orders and not document.ended:
+        click.echo("nothing is asked for")
+
+
+def said(desk, path, wishes, order: str, pid, wait: float, how) -> None:
+    """The router is told, and what the fleet makes of it is shown; code 1 where it is refused or not settled in time."""
+    try:
+        desk.signalled(path, pid)
+        if not wait:
+            return click.echo(f"asked for as {order}")
+        found = desk.settled(wishes, order, wait, how)
+    except desk.Refused as wrong:
+        raise click.ClickException(str(wrong)) from None
+    if hasattr(found, "how"):
+        click.echo(f"{found.machine} {found.how} {found.ident}{': ' + found.why if found.why else ''}")
+        raise SystemExit(1 if found.how == "refused" else 0)
+    click.echo(f"{found.machine} {found.state} {found.ident}{': ' + found.note if found.note else ''}")
+
+
+@fleet_work.command("add")
+@click.argument("machine")
+@click.option("--needs", type=click.FloatRange(0, 604_800, min_open=True), required=True, help="Seconds that the work takes.")
+@click.option("--before", type=click.FloatRange(0), default=0.0, help="Unix seconds by which it is to be back.")
+@click.option("--with", "beside", multiple=True, help="A machine that must be out together with it; may be given again.")
+@asking
+def work_add(machine, needs, before, beside, file, pid, wait) -> None:
+    """Ask for a machine to be taken out."""
+    from fieldspur.operators import BadFile
+
+    desk, path, wishes = desk_of(file)
+    try:
+        order = desk.add(path, desk.latest(desk.members(wishes)), machine, needs, before, beside)
+    except BadFile as wrong:
+        raise Bad(f"{file}: {wrong}") from None
+    said(desk, path, wishes, order, pid, wait, lambda found: True)
+
+
+def marking(name: str, key: str, yes: bool, text: str, how):
+    """A command that marks an order that is there, by its name or its machine's."""
+    @fleet_work.command(name, help=text)
+    @click.argument("order")
+    @asking
+    def command(order, file, pid, wait) -> None:
+        desk, path, wishes = desk_of(file)
+        document = desk.latest(desk.members(wishes))
+        found = next((one for one in document.orders if order in (one.ident, one.machine)), None)
+        if found is None:
+            raise click.ClickException(f"{order}: no such order; `fieldspur fleet work show` lists them")
+        try:
+            desk.mark(path, found, key, yes)
+        except desk.Refused as wrong:
+            raise click.ClickException(str(wrong)) from None
+        said(desk, path, wishes, found.ident, pid, wait, how)
+    return command
+
+
+marking("drop", "drop", True, "Withdraw an order; what is out comes back.",
+        lambda found: hasattr(found, "how") or found.state == "back")
+marking("hold", "hold", True, "An order does not go for now; at the router where it was asked for.",
+        lambda found: hasattr(found, "state") and found.state == "held")
+marking("go", "hold", False, "The opposite of hold.", lambda found: hasattr(found, "how") or found.state != "held")
+marking("back", "back", True, "The work is done: take the machine back.",
+        lambda found: hasattr(found, "how") or found.state == "back")
+
+
 @main.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell) -> None:
--- a/fieldspur/fleet/node.py
+++ b/fieldspur/fleet/node.py
@@ -7,28 +7,24 @@
 from typing import Any
 
 from fieldspur.fleet import agree, words
-from fieldspur.fleet.agree import NO_BALLOT, NO_MARK, Register
+from fieldspur.fleet.agree import NO_BALLOT, Register, Said
 from fieldspur.fleet.lease import Backs, Lease
 from fieldspur.fleet.members import Members
 
-MOST_ENTRIES = 256  # of the agreed list; the oldest leave it
-MOST_WANTS = 32  # of one member, not agreed yet
-MOST_BODY = 2000  # characters of one
 BEATS = 6  # ticks of its holder within a lease
 
 
 class Node:
     """`register` is what was kept, or blank. `length` ns is a lease's; all members have the same, and the same `fleet`."""
 
-    def __init__(self, fleet: str, register: Register, members: int, now: int, length: int, seed: int, forgot: bool):
-        self.fleet, self.register, self.me = fleet, register, register.member
+    def __init__(self, fleet: str, register: Register, members: int, now: int, length: int, seed: int, forgot: bool, foreman=None):
+        """`foreman` says what this member tells the others and what follows on an agreed value; without one nothing does."""
+        self.fleet, self.register, self.me, self.foreman = fleet, register, register.member, foreman
         self.beat, self.random = length // BEATS, random.Random(seed)
         self.views: list = [None] * members
         self.said: list = [None] * members
         self.ticks: list = [(NO_BALLOT, 0)] * members
-        self.others: list = [()] * members  # what each wants
-        self.wants: tuple = ()
-        self.made = 0
+        self.now = now
         self.lease = Lease(self.me, length, began=now, forgot=forgot)
         self.members = Members(self.me, members, now, self.beat, self.beat // 4)
         self.ticked = 0
@@ -45,13 +41,9 @@
         if register.member != member:
             raise words.BadWord(f"member: {register.member} at {member}'s address")
         backs, tick = (words.ticked(value.get(name), name) for name in ("backs", "tick"))
-        wants = value.get("wants")
-        if type(wants) is not list or len(wants) > MOST_WANTS or not all(
-                type(one) is list and len(one) == 2 and type(one[0]) is str and type(one[1]) is str
-                and len(one[0]) + len(one[1]) <= 2 * MOST_BODY for one in wants):
-            raise words.BadWord("wants: a short list of names and bodies wanted")
+        if self.foreman is not None:
+            self.foreman.heard(value, register, self.register.nonce)
         self.said[member], self.ticks[member] = Backs(*backs), tick
-        self.others[member] = tuple(map(tuple, wants))
         self.views[member] = register
         self.members.line(member, register.nonce, now)
         self.follow(now)
@@ -62,17 +54,6 @@
         if self.views[member] is not None:
             self.members.line(member, self.views[member].nonce, now)
 
-    def want(self, body: str) -> str:
-        """An operator asks for something here; its name in the agreed list. Raises ValueError."""
-        if len(body) > MOST_BODY:
-            raise ValueError(f"longer than {MOST_BODY} characters")
-        if len(self.wants) >= MOST_WANTS:
-            raise ValueError(f"{MOST_WANTS} wait here already: is there a majority?")
-        self.made += 1
-        name = f"{self.me}.{self.register.nonce}.{self.made}"
-        self.wants += ((name, body),)
-        return name
-
     def found(self) -> None:
         self.register = agree.found(self.register, self.seen())
 
@@ -88,7 +69,7 @@
                                    self.lease.may_return(now))
 
     def follow(self, now: int) -> None:
-        before = self.register
+        before, self.now = self.register, now
         if agree.fenced(self.register, self.seen()):
             self.fenced = True
             return
@@ -102,17 +83,26 @@
                 break
             self.register = said
             self.step(now)
-        done = {one[0] for one in self.agreed()}
-        self.wants = tuple(one for one in self.wants if one[0] not in done)
+        if self.foreman is not None:
+            self.foreman.know(self.known().value)
         if before.promised != self.register.promised:
             self.ask_at = now + self.pause()
 
     def successor(self, value: Any) -> Any:
-        """The agreed list with what any member wants and it lacks; None where nothing is wanted."""
-        value = value or ()
-        done = {one[0] for one in value}
-        more = tuple(one for wants in (*self.others, self.wants) for one in wants if one[0] not in done)
-        return (value + more)[-MOST_ENTRIES:] if more else None
+        """What follows on the agreed value; None where nothing does, or this member does not hold the lease at this moment."""
+        return self.foreman.succeed(value, self.now) if self.foreman is not None and self.acts(self.now) else None
+
+    def known(self) -> Said:
+        """The latest that is decided, as far as is known here. What a member learned before it forgot stays decided."""
+        return max((one.decided for one in self.seen() if one is not None), key=lambda said: said.mark)
+
+    def founded(self) -> bool:
+        """There is a fleet, or there may be one: not all others were heard."""
+        return any(one is None or one.life or one.back for one in self.seen())
+
+    def knows(self) -> bool:
+        """This process knows what is out as far as anybody does: by memory, from one who knows, or as all know nothing."""
+        return any(one is not None and one.life for one in self.seen()) or not self.founded()
 
     def pause(self) -> int:
         """So long a member waits with a ballot of its own: by chance, over more beats the more members there are."""
@@ -122,6 +112,10 @@
         """Time has passed: to be called about four times a beat."""
         self.members.looked(now)
         self.follow(now)
+        if self.foreman is not None:
+            gone = frozenset(m for m in range(len(self.views)) if self.members.gone(m, now))
+            said = (self.known(), self.register.accepted, self.register.said)
+            self.foreman.tick(now, self.acts(now), [one.value for one in said], gone, self.founded())
         if self.fenced or not self.register.life:
             return
         if self.leads():
@@ -154,12 +148,14 @@
         """It holds the lease at this moment; to be asked just before each act."""
         return not self.fenced and self.leads() and self.lease.holds(self.said, now)
 
-    def agreed(self) -> tuple:
-        return (self.register.decided.value or ()) if self.register.decided.mark != NO_MARK else ()
+    def agreed(self) -> Any:
+        """The value in force as this member knows it, None before the first."""
+        return self.register.decided.value
 
     def line(self) -> dict:
         """What is to be published, as soon as `register` is kept."""
         own = self.lease.ballot == self.register.asked == self.register.promised
         return {"fleet": self.fleet, "register": words.value(self.register),
                 "tick": [list(self.lease.ballot), self.lease.tick] if own else [list(NO_BALLOT), 0],
-                "backs": [list(self.lease.backs.ballot), self.lease.backs.tick], "wants": [list(one) for one in self.wants]}
+                "backs": [list(self.lease.backs.ballot), self.lease.backs.tick],
+                **(self.foreman.line() if self.foreman is not None else {})}
--- /dev/null
+++ b/fieldspur/fleet/overlay.py
@@ -0,0 +1,129 @@
+"""Between the notice board and the router: what is out for work is shown to the router as draining, whatever the board says, and
+what comes back from it as started when that was heard. Decides nothing: `foreman` says which machines."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import Callable
+
+from fieldspur.decide import Fleet
+from fieldspur.fleet.foreman import COLD, EJECTED, MOST_LOADS, WELL
+from fieldspur.fleet.work import Listing
+from fieldspur.gate import Shut
+from fieldspur.net.board import ListChange, Listed
+from fieldspur.record import replace
+from fieldspur.site import MS
+
+SECOND = 1_000_000_000
+
+
+def digits(value: float) -> float:
+    """Figures that are published, without digits that mean nothing."""
+    return float(f"{value:.3g}")
+
+
+class Overlay:
+    """Takes the board's word in the place of `route`, and hands it on."""
+
+    def __init__(self, route):
+        self.route, self.site = route, route.site
+        kinds, fleet = self.site.kinds, self.site.fleet
+        self.kinds = {name: "parent" if n == fleet["parent_kind"] else "cache" for n, name in enumerate(kinds)
+                      if n != fleet["origin_kind"]}
+        self.lock = threading.Lock()
+        self.rows: dict[str, Listed] = {}
+        self.off: frozenset = frozenset()
+        self.back: dict[str, int] = {}  # machine: Unix ns at which it was heard to be back
+        self.backs: frozenset = frozenset()  # (machine, number) that were heard
+        self.listings: dict[str, Listing] = {}
+        self.shut = False
+        self.txns = (0, 0, 0)  # turned away and all so far, as of when
+
+    # The board's side, as `Board` calls it.
+
+    def gather(self) -> None:
+        self.route.gather()
+
+    def handle(self) -> None:
+        self.route.handle()
+
+    def purge_told(self, purge, now: bool = False) -> None:
+        self.route.purge_told(purge, now)
+
+    def list_told(self, change: ListChange, now: bool = False) -> None:
+        with self.lock:  # one list change after the other; the thread of the board gathers meanwhile and waits for nobody
+            if change.complete:
+                self.rows = {}
+            self.rows |= {row.name: row for row in change.servers}
+            self.listings = {name: Listing(
+                row.state, row.started // MS, "%s:%d" % row.address, row.zone,
+                self.kinds.get(row.kind, "") if row.zone in self.site.zones else "", row.rating)
+                for name, row in self.rows.items()}
+            self.route.list_told(ListChange(change.complete, tuple(map(self.shown, change.servers))), now)
+
+    def shown(self, row: Listed) -> Listed:
+        if row.state == "up" and row.name in self.off:
+            return replace(row, state="draining")
+        return replace(row, started=self.back[row.name]) if self.back.get(row.name, 0) > row.started else row
+
+    # The fleet's side.
+
+    def keep_off(self, off: frozenset, backs: frozenset) -> None:
+        """These machines are not to be used from now on; those of `backs` are back, cold from when it was heard first."""
+        with self.lock:
+            fresh = {machine for machine, number in backs - self.backs}
+            changed = (self.off ^ off) | fresh
+            if not changed:
+                return
+            self.off, self.backs = off, backs
+            self.back |= dict.fromkeys(fresh, time.time_ns() // MS * MS)
+            rows = tuple(self.shown(self.rows[name]) for name in sorted(changed) if name in self.rows)
+            self.route.gather()
+            if rows:
+                self.route.list_told(ListChange(False, rows))
+        self.route.handle()
+
+    def doubted(self, doubt: Callable[[str], bool] | None) -> None:
+        """What asks, just before each write, whether a server may be used at this very moment."""
+        self.route.sender.doubt = doubt
+
+    def turn_away(self, yes: bool) -> None:
+        """The router serves nothing while it can't know what is out."""
+        if yes == self.shut:
+            return
+        self.shut = yes
+        if yes:
+            self.route.post(self.route.shut, Shut(), "no word of the fleet")
+        else:
+            self.route.post(self.route.open, "word of the fleet")
+
+    def open_at(self, machines) -> dict[str, int]:
+        """Hops that are open there, and those that name it as their source."""
+        found, servers = {}, self.route.router.fleet.servers
+        for name in machines:
+            server = servers.get(name)
+            found[name] = len(server.out) + len(server.feeds) if server is not None else 0
+        return found
+
+    def look(self, done: Callable[[dict, tuple], None]) -> None:
+        """Posts a look at the Router, that calls `done(loads, turned)` within it."""
+        self.route.post(self.looked, done)
+
+    def looked(self, done: Callable) -> None:
+        fleet: Fleet = self.route.router.fleet
+        now = self.route.now()
+        loads = {}
+        for at, server in enumerate([*fleet.caches, *fleet.parents][:MOST_LOADS]):
+            parent = at >= len(fleet.caches)
+            how = COLD if fleet.is_cold(server, now) else WELL if fleet.healthy(server, now) or now >= server.ejected_until \
+                else EJECTED
+            share = fleet.cold[parent][0]
+            fits = server.rating if parent else max(server.fits / share, 0.01)
+            load = fleet.rate(server, now)
+            fills = load * SECOND / max(1.0, self.route.router.mean_work)
+            loads[server.name] = [digits(fits), digits(load), digits(fills), how]
+        counts, (turned, every, at) = self.route.book.counts, self.txns
+        self.txns = (counts["rejected"] + counts["aborted"], sum(counts[word] for word in ("completed", "rejected", "aborted")), now)
+        span = max(1e-3, (now - at) / SECOND)
+        done(loads, tuple(digits(max(0, new - old) / span) for new, old in zip(self.txns, (turned, every))))
--- a/fieldspur/fleet/talk.py
+++ b/fieldspur/fleet/talk.py
@@ -12,9 +12,12 @@
 import threading
 import time
 
-from fieldspur.fleet import agree, words
+from fieldspur.fleet import agree, plan, work, words
+from fieldspur.fleet.foreman import Foreman
 from fieldspur.fleet.node import Node
+from fieldspur.fleet.overlay import Overlay
 from fieldspur.fleet.store import NotKept, Store
+from fieldspur.fleet.wishes import wishes_of
 from fieldspur.net.board import Board
 from fieldspur.operators import Fleet, member
 
@@ -24,6 +27,7 @@
 ASK = 64  # bytes that a reader may send: `watch N`
 SPARE = 64  # readers beyond four connections of each member: operators, and those that ended and are not seen yet
 SLOW = 2.0  # seconds that a reader may take for a line before its connection is closed
+LOOK = 1.0  # seconds between two looks at the Router's loads
 
 
 def now() -> int:
@@ -63,25 +67,45 @@
 
 
 class Talk:
-    """A member with its threads. Raises NotKept where its folder can't be used, OSError where it can't listen."""
+    """A member with its threads. `overlay` shows the router what is out. Raises NotKept where its folder can't be used, OSError
+    where it can't listen."""
 
-    def __init__(self, wishes: Fleet, own: str, seed: int):
+    def __init__(self, wishes: Fleet, own: str, seed: int, overlay: Overlay):
         self.names = sorted(wishes.members)
         me, many, length = self.names.index(own), len(self.names), int(wishes.lease_s * 1e9)
         nonce = int.from_bytes(os.urandom(6), "big") + 1
         self.store = Store(wishes.folder, wishes.name, me, many) if wishes.folder else None
         kept = self.store.load() if self.store else None
         register = agree.resume(kept, nonce) if kept is not None else agree.blank(me, many, nonce)
-        self.node = Node(wishes.name, register, many, now(), length, seed, forgot=kept is None)
+        site, bounds = overlay.site, wishes.bounds
+        longest = max((rule.limit for rule in site.rules), default=0)
+        self.overlay = overlay
+        self.foreman = Foreman(
+            self.names, own, site.zones[site.fleet["zone"]], length, plan.Bounds(
+                bounds.zone, bounds.all, bounds.both, bounds.headroom, bounds.fills_s, bounds.parents, bounds.at_once),
+            wishes.unsure == "turn_away", longest, max(site.fleet["cache_cold"][1], site.fleet["parent_cold"][1]))
+        self.foreman.wishes = wishes_of(wishes.work, "fleet.work")
+        self.node = Node(wishes.name, register, many, now(), length, seed, kept is None, self.foreman)
+        try:
+            for said in (register.accepted, register.said, register.decided):
+                work.read(said.value)
+            self.foreman.know(register.decided.value)
+        except work.BadOrder as wrong:
+            raise NotKept(f"what was kept is of another version: {wrong}") from None
         self.every = min(EVERY, self.node.beat / 1e9)
         self.kept, self.failed, self.acting, self.life = kept, False, False, register.life
         self.rev, self.data, self.last = 0, b"", {}
+        self.known = threading.Event()  # set once this member knows what is out, or that nobody does
+        self.unsure, self.shown = frozenset(), work.NOTHING  # what may only be used by lease; the document last logged
+        self.applying = threading.Lock()
         self.lock = threading.Lock()  # of the node
         self.told = threading.Condition()  # of the line
         self.watchers = 0
         addresses = [member(wishes.members[name])[0] for name in self.names]
         self.listener = socket.create_server(addresses[me], backlog=many)
         self.peers = [Peer(self, n, where, seed + n) for n, where in enumerate(addresses) if n != me]
+        overlay.doubted(self.doubted)
+        self.apply()
         log.info("member", extra={"kv": {"fleet": wishes.name, "member": own, "of": many, "memory": kept is not None}})
 
     def start(self) -> None:
@@ -95,8 +119,13 @@
 
     def heard(self, number: int, value: dict) -> None:
         with self.lock:
+            before = self.foreman.work.number
             self.node.heard(number, value, now())
             self.keep()
+            fresh = self.foreman.work.number != before
+        if fresh:
+            self.apply()
+            self.publish()
 
     def alive(self, number: int) -> None:
         """Nothing new there, but it is."""
@@ -104,12 +133,21 @@
             self.node.alive(number, now())
 
     def run(self) -> None:
-        while not self.node.fenced:
+        looked, fenced = 0.0, False
+        while True:
             time.sleep(max(LAG, self.node.beat / 4e9))
+            if self.node.fenced != fenced:  # it says no more, and goes by what it knew until its lease on that has ended
+                fenced = True
+                log.error("fenced", extra={"kv": {"why": "a later process of this name is a member; this one takes part no more"}})
+            if time.monotonic() - looked >= LOOK:
+                looked = time.monotonic()
+                self.overlay.look(self.looked)
             with self.lock:
+                self.foreman.wall, self.foreman.board = time.time_ns() // 1_000_000, self.overlay.listings
                 self.node.tick(now())
                 self.keep()
                 acts, life, promised = self.node.acts(now()), self.node.register.life, self.node.register.promised
+            self.apply()
             self.publish()
             if life != self.life:
                 self.life = life
@@ -117,7 +155,59 @@
             if acts != self.acting:
                 self.acting = acts
                 log.info("acting" if acts else "acts_no_more", extra={"kv": {"ballot": "%d.%d" % promised}})
-        log.error("fenced", extra={"kv": {"why": "a later process of this name is a member; this one takes part no more"}})
+    def looked(self, loads: dict, turned: tuple) -> None:
+        self.foreman.loads, self.foreman.turned = loads, turned
+
+    # What is out.
+
+    def apply(self) -> None:
+        """The router goes by the document that is known now; what it says of that is true by then."""
+        with self.applying:
+            with self.lock:
+                at = now()
+                found, off, backs = self.foreman.work, self.foreman.off(at), self.foreman.back()
+                doubt, sure = self.foreman.in_doubt(at), self.node.knows()
+            self.unsure = found.machines(work.ANNOUNCED)
+            self.overlay.keep_off(off, backs)
+            open_at = self.overlay.open_at(sorted(self.unsure))
+            with self.lock:
+                self.foreman.applied(found.number, open_at)
+            if self.foreman.strict:
+                self.overlay.turn_away(doubt)
+            if sure:
+                self.known.set()
+            self.tell(found)
+
+    def doubted(self, server: str) -> bool:
+        """Just before a write. Guards against a process that was stopped while machines went, or whose threads had no turn."""
+        if server not in self.unsure and not self.foreman.strict:
+            return False
+        if self.foreman.strict:
+            return self.foreman.in_doubt(now())
+        return not self.foreman.listed.holds(now())
+
+    def tell(self, found: work.Work) -> None:
+        """A line of the log for each order that went a step further."""
+        before, self.shown = self.shown, found
+        if found is before:
+            return
+        old = {one.ident: one for one in before.orders}
+        for one in found.orders:
+            was = old.pop(one.ident, None)
+            if was is None or was.state != one.state:
+                log.info("work", extra={"kv": {"order": one.ident, "machine": one.machine, "state": one.state,
+                                               "number": found.number, "note": one.note or "-"}})
+            elif one.state == work.FREE and one.note and one.note != was.note:
+                log.warning("work_away", extra={"kv": {"order": one.ident, "machine": one.machine, "why": one.note}})
+        for one in found.ended:
+            if one.number > before.number:
+                log.log(logging.ERROR if one.how == work.REFUSED else logging.INFO, "work_ended", extra={"kv": {
+                    "order": one.ident, "machine": one.machine, "how": one.how, "why": one.why or "-"}})
+
+    def wish(self, rows: list) -> None:
+        """An operators' file was read again."""
+        with self.lock:
+            self.foreman.wishes = wishes_of(rows, "fleet.work")
 
     def found(self) -> None:
         """An operator's word that there was no fleet before; refused with the reason in the log."""
--- a/fieldspur/gate.py
+++ b/fieldspur/gate.py
@@ -19,3 +19,13 @@
         if waiting >= self.most:
             return now
         return min(now + int((limit_at - now) * PATIENCE), self.opens_at + max(0, limit_at - self.opens_at) // 2)
+
+
+class Shut:
+    """Shut until somebody opens it: a router that can't know which servers it may use turns txns away at once."""
+
+    def __init__(self):
+        self.shut_at = 0
+
+    def until(self, now: int, limit_at: int, waiting: int) -> int:
+        return now
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -351,6 +351,7 @@
         self.site, self.book, self.relay, self.most_lanes = site, book, relay, most_lanes
         self.route = None  # set by it
         self.board, self.looked = None, 0  # the board, set by who has both; when a hop last looked at it
+        self.doubt = None  # where routers settle things: whether a server may not be used at this moment
         self.purged: dict = {}  # by object or group: (number of the latest purge told, when)
         self.purges = 0
         self.broke = 0  # when a connection last broke under hops
@@ -443,6 +444,7 @@
         servers = self.servers
         return (servers.get(hop.server, GONE)[1] != "up" or now - hop.asked > self.site.connect_timeout
                 or (hop.source is not None and servers.get(hop.source, GONE)[1] != "up")
+                or (self.doubt is not None and (self.doubt(hop.server) or hop.source is not None and self.doubt(hop.source)))
                 or (bool(self.purged) and hop.want is not None
                     and max(self.purged.get(hop.want.obj, NONE)[0], self.purged.get(hop.group, NONE)[0]) > hop.purges))
 
--- a/fieldspur/operators.py
+++ b/fieldspur/operators.py
@@ -59,6 +59,20 @@
     most_waiting: int = key(512, 0, 100_000, "txns that wait meanwhile; further ones are rejected at once")
 
 
+@record(frozen=True)
+class Bounds:
+    """What may be out for work together. Shares are of capacity as routers see it."""
+
+    zone: float = key(0.34, 0.0, 1.0, "share of a location's caches that may be out")
+    all: float = key(0.25, 0.0, 1.0, "share of all caches that may be out, where more than one is")
+    both: float = key(0.0, 0.0, 1.0, "share of a location's objects whose home and next cache may be out together; 0: never, "
+                                     "so one cache a location at a time")
+    headroom: float = key(0.8, 0.05, 1.0, "the load may take so much of what stays")
+    fills_s: float = key(0.0, 0.0, 1e6, "fills a second that the store bears on top; 0: no bound")
+    parents: int = key(1, 0, 64, "parents out together; caches and parents never are")
+    at_once: int = key(8, 1, 64, "machines out together")
+
+
 @record(frozen=True)
 class Fleet:
     """Which routers settle things among themselves. Without a name the router knows of no others."""
@@ -70,6 +84,21 @@
     lease_s: float = key(1.5, 0.3, 60.0, "seconds that a member acts for the fleet without word of a majority")
     first: bool = Field(False, about={
         "description": "turned true and read by SIGHUP: there has been no fleet before, one begins; needs all members there"})
+    unsure: Literal["serve", "turn_away"] = Field("serve", about={
+        "description": "a router that can't know what is out: `serve` keeps off what was announced to it, and orders wait until all "
+                       "routers were told; `turn_away` turns all txns away at once, and orders wait for nobody"})
+    bounds: Bounds = part(Bounds, "what may be out for work together")
+    work: list[dict] = Field([], about={
+        "description": "machines that are to be worked on", "maxItems": 64,
+        "items": {"type": "object", "additionalProperties": False, "required": ["machine"], "properties": {
+            "machine": {"type": "string", "description": "a cache's or a parent's name on the board"},
+            "needs_s": {"type": "number", "description": "seconds that the work takes"},
+            "before": {"type": "number", "description": "Unix seconds by which it is to be back; 0: it does not matter"},
+            "with": {"type": "array", "items": {"type": "string"}, "description": "machines that are to be out together with it"},
+            "id": {"type": "string", "description": "tells this order from others; made from the rest without it"},
+            "hold": {"type": "boolean", "description": "it does not go for now"},
+            "back": {"type": "boolean", "description": "the work is done"},
+            "drop": {"type": "boolean", "description": "withdrawn"}}}})
 
 
 def member(text: str) -> tuple[tuple[str, int], str]:
@@ -97,6 +126,11 @@
         if where in seen:
             raise BadFile(f"{path}.members.{name}: the address of {seen[where]}")
         seen[where] = name
+    from fieldspur.fleet.wishes import BadOrder, wishes_of  # only where there is a fleet
+    try:
+        wishes_of(value.work, f"{path}.work")
+    except BadOrder as wrong:
+        raise BadFile(str(wrong)) from None
 
 
 @record(frozen=True)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import pytest
 from helpers import Service
+from routers import Routers
 
 
 @pytest.fixture
@@ -16,3 +17,17 @@
         service.process.kill()
         service.process.wait()
         assert "event=crashed" not in service.lines() and "event=broken" not in service.lines()
+
+
+@pytest.fixture
+def routers(tmp_path):
+    made = []
+
+    def make(*about, **more):
+        made.append(Routers(tmp_path, *about, **more))
+        return made[-1]
+    yield make
+    for one in made:
+        one.end()
+        for service in one.all:
+            assert "event=crashed" not in service.lines() and "event=broken" not in service.lines()
--- /dev/null
+++ b/tests/routers.py
@@ -0,0 +1,104 @@
+"""Several routers as processes that settle things among themselves, with a link of its own for each directed pair."""
+
+import json
+import os
+import signal
+import socket
+import time
+
+from fieldspur.bench.path import free_port
+from fieldspur.fleet import words, work
+from helpers import Cache, Link, Notices, Service, settings, until
+
+HOST = "127.%d.%d.2" % (1 + os.getpid() // 250 % 250, 1 + os.getpid() % 250)  # else a link may connect to itself
+
+
+class Routers:
+    """`many` processes; member a reads member b through a link of its own."""
+
+    def __init__(self, folder, many, disk=False, caches=1, **fleet):
+        self.folder, self.many, self.disk, self.fleet = folder, many, disk, fleet
+        self.asked = {n: [] for n in range(many)}
+        self.names = [f"r{n}" for n in range(many)]
+        self.ports = [free_port(HOST) for _ in range(many)]
+        self.links = {(a, b): Link((HOST, self.ports[b])) for a in range(many) for b in range(many) if a != b}
+        self.caches, self.board = [Cache() for _ in range(caches)], Notices()
+        self.all = [self.start(n) for n in range(many)]
+        self.old = []
+
+    def wishes(self, n, **more):
+        folder = self.folder / f"r{n}"
+        folder.mkdir(exist_ok=True)
+        fleet = {"name": "valley", "lease_s": 1.0, "work": self.asked[n], **self.fleet, "members": {
+            name: (f"{HOST}:{self.ports[m]}" if m == n else f"127.0.0.1:{self.links[n, m].port}") + f" z{m % 2}" for m, name in enumerate(self.names)}}
+        return {"fleet": fleet | ({"folder": str(folder)} if self.disk else {}) | more}
+
+    def start(self, n):
+        wishes = self.wishes(n)
+        quick = settings()
+        quick["guarantees"] |= {"rampTimeUs": 1_000_000}  # from cold to full
+        quick["familyInfo"] |= {"parentRampUs": 1_000_000}
+        return Service(self.folder / f"r{n}", self.caches, self.board, wishes, name=self.names[n], settings=quick)
+
+    def restart(self, n):
+        self.old.append(self.all[n])
+        self.all[n] = self.start(n)
+
+    def kill(self, n):
+        self.all[n].process.kill()
+        self.all[n].process.wait()
+
+    def found(self, n=0):
+        until(lambda: all(self.said(m) for m in range(self.many)), "all members")
+        def begun():
+            for first, wait in ((False, 0.1), (True, 0.5)):
+                self.reload(n, first=first)
+                time.sleep(wait)
+            return "event=founding" in self.all[n].lines()
+        until(begun, "a fleet that begins")
+        until(lambda: all(self.said(m)["register"]["life"] for m in range(self.many)), "all members with a life")
+        return self.acting()
+
+    def reload(self, n, **more):
+        self.all[n].wishes(self.wishes(n, **more))
+        self.all[n].process.send_signal(signal.SIGHUP)
+
+    def ask(self, n, *rows):
+        """The operators' file of one router asks for this from now on."""
+        self.asked[n] = list(rows)
+        self.reload(n)
+
+    def orders(self, n):
+        """The document on work that this member goes by: its number, orders by machine, how others ended."""
+        found = work.read(words.frozen((self.said(n) or {"register": {"decided": [0, None]}})["register"]["decided"][1]))
+        return found.number, {one.machine: one for one in found.orders}, {one.machine: one for one in found.ended}
+
+    def state(self, n, machine):
+        _, orders, ended = self.orders(n)
+        return orders[machine].state if machine in orders else ended[machine].how if machine in ended else None
+
+    def said(self, n):
+        """The line that member n publishes now, seen as another member sees it; None where it does not."""
+        time.sleep(0.05)
+        try:
+            with socket.create_connection((HOST, self.ports[n]), timeout=2) as sock:
+                sock.sendall(b"watch 0\n")
+                return json.loads(sock.makefile("rb").readline() or b"null")
+        except OSError:
+            return None
+
+    def acts(self, n):
+        found = [line for line in self.all[n].lines().splitlines() if "event=acting" in line or "event=acts_no_more" in line]
+        return bool(found) and "event=acting" in found[-1]
+
+    def acting(self, but=()):
+        """The one member that acts, and how long until it did."""
+        began = time.monotonic()
+        one = until(lambda: [n for n in range(self.many) if n not in but and self.acts(n)], "a member that acts")
+        return one[0], time.monotonic() - began
+
+    def end(self):
+        for service in self.all + self.old:
+            service.process.send_signal(signal.SIGCONT)
+            service.process.kill()
+            service.process.wait()
--- /dev/null
+++ b/tests/test_fleet_desk.py
@@ -0,0 +1,71 @@
+"""The operator's desk: the command line against running routers."""
+
+import json
+import os
+
+import pytest
+from click.testing import CliRunner
+
+from fieldspur.cli import main
+from fieldspur.fleet import desk
+from fieldspur.operators import BadFile
+from helpers import until
+
+
+def call(*words, code=0):
+    found = CliRunner().invoke(main, ["fleet", *map(str, words)])
+    assert found.exit_code == code, found.output
+    return found.output
+
+
+def test_an_operator_asks_shows_holds_and_withdraws_from_the_command_line(routers):
+    fleet = routers(3, caches=3, bounds={"zone": 0.5, "all": 0.5})
+    fleet.found()
+    files = [fleet.folder / f"r{n}" / "operators.json" for n in range(3)]
+    for n, path in enumerate(files):
+        path.write_text(json.dumps(fleet.wishes(n)))
+    rows = json.loads(call("show", "--operators", files[0], "--json"))
+    assert [row["counts"] for row in rows] == [True] * 3 and sum(row["acts"] for row in rows) == 1
+    assert "nothing is asked for" in call("work", "show", "--operators", files[0])
+    asked = call("work", "add", "c1", "--needs", 300, "--operators", files[0])
+    assert asked.startswith(("c1 waiting", "c1 next", "c1 going", "c1 out"))
+    assert "is asked for already, by r0" in call("work", "add", "c1", "--needs", 5, "--operators", files[1], code=1)
+    assert "no such cache or parent" in call("work", "add", "c77", "--needs", 5, "--operators", files[1], code=1)
+    until(lambda: "c1                  free" in call("work", "show", "--operators", files[2]))
+    assert "waiting" in call("work", "add", "c2", "--needs", 300, "--operators", files[0])
+    assert "held" in call("work", "hold", "c2", "--operators", files[0])
+    assert "there" in call("work", "go", "c2", "--operators", files[1], code=1)
+    assert "c2" in call("work", "go", "c2", "--operators", files[0])
+    assert "c2 dropped" in call("work", "drop", "c2", "--operators", files[2])  # wherever it was asked for
+    assert call("work", "back", "c1", "--operators", files[1]).startswith(("c1 back", "c1 done"))
+    until(lambda: "c1                  done" in call("work", "show", "--operators", files[2]))
+    call("work", "add", "c1", "--needs", 5, "--operators", files[0])  # again, later
+    assert [row["machine"] for row in json.loads(files[0].read_text())["fleet"]["work"]] == ["c1"]
+    fleet.kill(0)
+    fleet.kill(1)
+    assert "can't be reached" in call("show", "--operators", files[2], code=1)
+    assert "no router on this machine" in call("work", "add", "c0", "--needs", 5, "--operators", files[0], code=1)
+    assert "no majority has agreed on it" in call("work", "add", "c0", "--needs", 5, "--wait", 1, "--operators", files[2], code=1)
+
+
+FILE = {"fleet": {"name": "v", "members": {"a": "127.0.0.1:1 z", "b": "127.0.0.1:2 z"}}}
+
+
+@pytest.mark.parametrize("file, said", [({}, "fleet.name: missing"), ({"fleet": {"name": "v"}}, "fleet.members"), (None, "No such file")])
+def test_a_file_that_knows_of_no_fleet_is_named(tmp_path, file, said):
+    path = tmp_path / "operators.json"
+    if file is not None:
+        path.write_text(json.dumps(file))
+    assert said in call("work", "show", "--operators", path, code=2)
+
+
+def test_a_change_that_the_file_can_t_bear_leaves_it_as_it_was(tmp_path):
+    path = tmp_path / "operators.json"
+    path.write_text(json.dumps(FILE))
+    os.chmod(path, 0o640)
+    before = path.read_bytes()
+    with pytest.raises(BadFile, match="needs_s"):
+        desk.change(path, lambda rows: rows.append({"machine": "c1", "needs_s": -1}))
+    assert path.read_bytes() == before and [one.name for one in tmp_path.iterdir()] == ["operators.json", "operators.json.lock"]
+    desk.change(path, lambda rows: rows.append({"machine": "c1", "needs_s": 3}))
+    assert desk.read(path)[1].work == [{"machine": "c1", "needs_s": 3}] and path.stat().st_mode & 0o777 == 0o640
