A connection is not closed as idle over a request that lies unread: a router that was stopped

The router that was stopped for 6 s logged, 5 ms after it went on:

ts=1796172244.680 part=takein event=closed why=idle ts=1796172244.699 part=fleet event=acts_no_more

Checked: the checker (the front had taken the router out, the try was sent before) and the reader thread (it had not run yet). Cause: `TakeIn.watch` compares the clock with the last answer; after a stop of 5 s and more every quiet connection is overdue at once, and the look may come before the readers' turn. Lines: takein.py, `watch`, `make_room`. Now a connection whose socket holds something unread is left for the next look; its reader has had its turn by then. One poll for each connection that is about to be closed, none on the ordinary path. Test without sockets of a bench; it fails without the fix. It might hurt where a client sends without end what nobody reads: the reader takes it, so it is unread for moments only.

--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import select
 import socket
 import threading
 import time
@@ -19,6 +20,7 @@
 # Seconds. Clients that use a router as the protocol says send a frame at once and close after 4 s without a request;
 # others are owed an end within 3 s, or 6 s with 60 MB to send.
 FRAME_WAIT, IDLE_WAIT, AFTER_WAIT, LOOK_EVERY = 2.0, 5.0, 0.5, 0.2
+IDLE, HALF = "idle", "half a frame"  # why a connection is closed that brings nothing, or no end of what it began
 MOST_AFTER = 1 << 20  # bytes read on after what can't be read
 BACKLOG = 512
 
@@ -109,18 +111,27 @@
         else:
             self.proved |= self.takein.admit.request(value, self.outlet, now)
 
+    def unread(self) -> bool:
+        """Guards against a process that was stopped: what came meanwhile lies unread, and the look at idle connections may have its
+        turn before their readers. A request there is owed its answer."""
+        if self.sock.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(self.sock, select.POLLIN)
+        return any(event == select.POLLIN for _, event in poll.poll(0))
+
     def overdue(self, now: float) -> str:
         """Why it is to be closed now, if it is."""
         waited, idle = now - self.since, now - self.outlet.idle_since
         if self.outlet.streams:
-            return "half a frame" if self.held and waited > FRAME_WAIT else ""
+            return HALF if self.held and waited > FRAME_WAIT else ""
         if self.outlet.writing:
             return "takes no answers" if idle > self.takein.gone_after_ms / 1e3 else ""
         if self.failed:
             return "unreadable" if waited > AFTER_WAIT else ""
         if self.held:
-            return "half a frame" if waited > FRAME_WAIT else ""
-        return "idle" if idle > (IDLE_WAIT if self.proved else FRAME_WAIT) else ""
+            return HALF if waited > FRAME_WAIT else ""
+        return IDLE if idle > (IDLE_WAIT if self.proved else FRAME_WAIT) else ""
 
 
 class TakeIn:
@@ -166,16 +177,18 @@
         """Closes connections that have been given their time."""
         while True:
             time.sleep(LOOK_EVERY)
-            now = time.monotonic()
-            with self.lock:
-                clients = list(self.clients)
-            for client in clients:
-                if why := client.overdue(now):
-                    log.info("closed", extra={"kv": {"why": why}})
-                    if client.outlet.streams:
-                        client.fail(why)
-                    else:
-                        client.outlet.cut_if_idle()
+            self.look(time.monotonic())
+
+    def look(self, now: float) -> None:
+        with self.lock:
+            clients = list(self.clients)
+        for client in clients:
+            if (why := client.overdue(now)) and not (why in (IDLE, HALF) and client.unread()):
+                log.info("closed", extra={"kv": {"why": why}})
+                if client.outlet.streams:
+                    client.fail(why)
+                else:
+                    client.outlet.cut_if_idle()
 
     def make_room(self) -> bool:
         """Close one connection without a txn: of those that never sent a request of use, if there are any, and of
@@ -184,7 +197,7 @@
             idle = sorted((c for c in self.clients if not c.outlet.streams),
                           key=lambda c: (c.proved, c.outlet.idle_since))
             for client in idle:
-                if client.outlet.cut_if_idle():
+                if not client.unread() and client.outlet.cut_if_idle():
                     self.clients.discard(client)
                     return True
         return False
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -23,7 +23,7 @@
 from fieldspur.net.relay import Outlet, Relay
 from fieldspur.net.route import Route
 from fieldspur.net.send import Hop, Send
-from fieldspur.net.takein import Client as ClientSide, encode
+from fieldspur.net.takein import Client as ClientSide, TakeIn, encode
 from fieldspur.record import replace
 from fieldspur.site import MS, deployment, read_node
 from helpers import Cache, Client, Events, Listener, Notices, endpoint, sender, settings, until
@@ -650,3 +650,23 @@
     assert not board.current.is_set()
     board.line(b"5")
     assert board.current.is_set()
+
+
+def test_a_connection_that_was_idle_is_not_closed_over_a_request_that_lies_unread():
+    """Found by the laboratory's herd: a router stopped for 6 s closed connections as idle before their readers had a turn; what a
+    client had sent meanwhile was never answered."""
+    book, relay = Book(), Relay(1 << 20)
+    takein = TakeIn(("127.0.0.1", 0), 8, 1 << 20, 1_000_000_000, None, book, None, relay)
+    here, there = socket.socketpair()
+    client = ClientSide(takein, here)
+    takein.clients.add(client)
+    client.proved, later = True, time.monotonic() + 60
+    there.sendall(b"\0")
+    takein.look(later)
+    assert not client.outlet.cutting and not takein.make_room()
+    here.recv(1)  # its reader has had its turn
+    takein.look(later)
+    assert client.outlet.cutting
+    there.close()
+    here.close()
+    takein.listener.close()
