Laboratory: a rig of routers with links between them, judged by what they publish and what is open

Need: what many processes do together is to be proved by faults between them, with load, and judged from the sockets alone.

Scenarios fleet-work, fleet-work-split, fleet-work-herd; `fieldspur lab ways` plays the same load with routers, by hand and untouched; a time line in reports. The laboratory is grouped now by what it emulates, plays and judges.

Measured with it and mended: "txns are turned away there" from single seconds of few txns held orders up for 4 s (now over 4 s, fading); a machine back for 2 s was held to a load that its fading mean can't show yet, and to an even share that it never bore.

--- a/fieldspur/cli.py
+++ b/fieldspur/cli.py
@@ -47,7 +47,7 @@
 def check(file, kind) -> None:
     """Check a node's file, an operators' file or a scenario. A faulty key is named; code 2."""
     from fieldspur import operators, site
-    from fieldspur.lab import scenario
+    from fieldspur.lab.plays import scenario
 
     try:
         data = Path(file).read_bytes()
@@ -77,7 +77,7 @@
 def schema(kind) -> None:
     """Print the JSON schema of the operators' file or of a scenario."""
     from fieldspur import operators
-    from fieldspur.lab import scenario
+    from fieldspur.lab.plays import scenario
 
     click.echo(operators.schema_text() if kind == "operators" else scenario.schema_text(), nl=False)
 
@@ -152,14 +152,14 @@
 @lab.command("list")
 def lab_list() -> None:
     """Scenarios that come with the program."""
-    from fieldspur.lab import scenario
+    from fieldspur.lab.plays import scenario
 
     for name in scenario.names():
         click.echo(f"{name:16}{scenario.load(name).about}")
 
 
 def scenario_of(name: str, seed=None, seconds=None):
-    from fieldspur.lab import scenario
+    from fieldspur.lab.plays import scenario
     from fieldspur.operators import BadFile
 
     try:
@@ -180,7 +180,8 @@
 @click.option("--simulated", is_flag=True, help="In simulated time, without sockets, at the scenario's own size.")
 def lab_run(name, seed, seconds, build, as_json, report, logs, top, simulated) -> None:
     """Play a scenario, a name of `lab list` or a JSON file. Code 1 where a rule or an expectation broke."""
-    from fieldspur.lab import far, play, report as reporting
+    from fieldspur.lab.judge import report as reporting
+    from fieldspur.lab.plays import far, play
     from fieldspur.operators import BadFile
 
     plan = scenario_of(name, seed, seconds)
@@ -208,7 +209,8 @@
 def lab_compare(first, second, name, report, as_json) -> None:
     """Set two side by side, each a checkout of fieldspur, which plays the scenario, or a run: figures of `lab run --json`,
     or a report's folder. Code 1 where one of them broke a rule or an expectation."""
-    from fieldspur.lab import play, report as reporting
+    from fieldspur.lab.judge import report as reporting
+    from fieldspur.lab.plays import play
 
     plan = scenario_of(name)
 
@@ -237,12 +239,42 @@
     raise SystemExit(0 if all(one["passed"] for one in found) else 1)
 
 
+@lab.command("ways")
+@click.argument("name", default="fleet-work")
+@click.option("--seed", type=int, help="Another one than the scenario's.")
+@click.option("--report", type=click.Path(file_okay=False), help="Write an HTML report with plots into this folder.")
+@click.option("--json", "as_json", is_flag=True)
+def lab_ways(name, seed, report, as_json) -> None:
+    """The same load three times: machines taken out by the routers, by hand through the board, and left alone. Code 1 where a rule
+    or an expectation broke."""
+    import msgspec
+
+    from fieldspur.lab.judge import report as reporting
+    from fieldspur.lab.plays import play
+
+    plan = scenario_of(name, seed)
+    if plan.fleet is None:
+        raise Bad(f"{name}: no scenario of a fleet")
+    found = []
+    try:
+        for way in ("fleet", "hand", "untouched"):
+            found.append(play.play(msgspec.structs.replace(plan, fleet=msgspec.structs.replace(plan.fleet, way=way))))
+            found[-1]["build"] = way
+    except play.LabFailed as wrong:
+        raise click.ClickException(str(wrong)) from None
+    if report:
+        reporting.write(Path(report), found)
+    click.echo(json.dumps(found) if as_json else reporting.side_by_side(found))
+    raise SystemExit(0 if all(one["passed"] for one in found) else 1)
+
+
 @main.command()
 @click.option("--scenario", "name", default="market", show_default=True, help="What is played.")
 @click.option("--seconds", type=click.FloatRange(1, 86_400), help="Longer or shorter.")
 def top(name, seconds) -> None:
     """A live table of routers and servers while a scenario plays; ends with it, or with Ctrl-C."""
-    from fieldspur.lab import play, report as reporting
+    from fieldspur.lab.judge import report as reporting
+    from fieldspur.lab.plays import play
 
     plan = scenario_of(name, None, seconds)
     if plan.far is not None:
--- a/fieldspur/fleet/foreman.py
+++ b/fieldspur/fleet/foreman.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any, NamedTuple
 
 from fieldspur.fleet import plan, work, words
@@ -16,6 +17,7 @@
 BUSY_TROUBLE, FEW = 0.05, 20.0  # a location is in trouble that turns away such a share, of so many txns a second
 BEARS = 0.5  # a machine bears its part at such a share of its even load
 PATIENT = 2.0  # times the warm span, after which one that is asked for little counts as bearing its part
+LOAD_SPAN = 5_000_000_000  # ns in which most of a load that was is forgotten (`decide.Fleet.rate`)
 IDLE = 0.05  # load over capacity of a location below which nothing can be told from loads
 NOTES_EVERY = 2_000_000_000  # ns between two documents that differ in words for the operator only
 PLAN_EVERY = 5_000_000_000  # ns after which a plan is made anew though nothing it was made for differs
@@ -105,6 +107,7 @@
         self.gone: frozenset = frozenset()  # members that are suspected
         self.back_at: dict[tuple, int] = {}  # (ident, number): when it was first seen back here
         self.drain = DRAIN
+        self.bore: dict[str, float] = {}  # machine: its share of its location's load before it went
         self.planned_for, self.planned_at, self.planned = None, 0, None
         self.doubt = False  # as of the last tick
         self.founded = True  # there is a fleet, or may be: until all were heard and none knows of one
@@ -200,6 +203,7 @@
         if now - self.looked_at < self.beat // 4:
             return None
         self.looked_at = now
+        self.remember()
         before = work.read(value)
         asked = [(self.names[m], one) for m, found in self.reports.items() for one in found.asks]
         asked += [(self.own, work.read_ask(one)) for one in self.asks()]
@@ -302,14 +306,33 @@
         rows = [one.loads[order.machine] for one in live if order.machine in one.loads]
         if any(row.how == COLD for row in rows):
             return "cold"
-        peers = [name for name, one in self.board.items() if one.state == "up" and one.kind
-                 and (one.zone, one.kind) == (self.board[order.machine].zone, self.board[order.machine].kind)]
-        load, fits = (sum(one.loads[name][at] for one in live for name in peers if name in one.loads) for at in (1, 0))
-        mine, own = (sum(row[at] for row in rows) for at in (1, 0))
-        if fits and load > IDLE * fits and mine < BEARS * load * own / fits and now - since < PATIENT * self.warm:
-            return f"bears {mine:.1f} of {load * own / fits:.1f} transfers"
+        load, mine, even = self.part(order.machine, live)
+        wanted = load * min(even, self.bore.get(order.machine, even))
+        grown = 1 - math.exp((since - now) / LOAD_SPAN)  # of what it bears, so much is seen in a fading mean by now
+        if mine < BEARS * grown * wanted and now - since < PATIENT * self.warm:
+            return f"bears {mine:.1f} of {wanted:.1f} transfers"
         return ""
 
+    def part(self, machine: str, live: list) -> tuple[float, float, float]:
+        """The load of the machine's location, the machine's own, and its share were the load even; no load where little is to do."""
+        own = self.board[machine]
+        peers = [name for name, one in self.board.items() if one.state == "up" and (one.zone, one.kind) == (own.zone, own.kind)]
+        sums = [[sum(one.loads[name][at] for one in live for name in names if name in one.loads) for at in (0, 1)]
+                for names in (peers, [machine])]
+        (fits, load), (mine_fits, mine) = sums
+        return (load, mine, mine_fits / fits) if fits and load > IDLE * fits else (0.0, mine, 0.0)
+
+    def remember(self) -> None:
+        """What a machine bears before it goes is what it is to bear again."""
+        there = {one.machine for one in self.work.orders}
+        self.bore = {name: share for name, share in self.bore.items() if name in there}
+        live = self.live()
+        for order in self.work.orders:
+            if order.state in (work.WAITING, work.NEXT) and order.machine in self.board:
+                load, mine, _ = self.part(order.machine, live)
+                if load:
+                    self.bore[order.machine] = mine / load
+
 
 def plain(of: work.Work) -> list:
     return [[one._replace(note="") for one in of.orders], of.ended]
--- a/fieldspur/fleet/overlay.py
+++ b/fieldspur/fleet/overlay.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 import time
 from typing import Callable
@@ -16,6 +17,7 @@
 from fieldspur.site import MS
 
 SECOND = 1_000_000_000
+TURNED_SPAN = 4 * SECOND  # in which most of what was turned away is forgotten: single seconds of few txns tell nothing
 
 
 def digits(value: float) -> float:
@@ -39,6 +41,7 @@
         self.listings: dict[str, Listing] = {}
         self.shut = False
         self.txns = (0, 0, 0)  # turned away and all so far, as of when
+        self.faded = (0.0, 0.0)  # of those, what of the last seconds counts still
 
     # The board's side, as `Board` calls it.
 
@@ -125,5 +128,6 @@
             loads[server.name] = [digits(fits), digits(load), digits(fills), how]
         counts, (turned, every, at) = self.route.book.counts, self.txns
         self.txns = (counts["rejected"] + counts["aborted"], sum(counts[word] for word in ("completed", "rejected", "aborted")), now)
-        span = max(1e-3, (now - at) / SECOND)
-        done(loads, tuple(digits(max(0, new - old) / span) for new, old in zip(self.txns, (turned, every))))
+        keeps = math.exp((at - now) / TURNED_SPAN)
+        self.faded = tuple(old * keeps + new - was for old, new, was in zip(self.faded, self.txns, (turned, every)))
+        done(loads, tuple(digits(max(0.0, one) * SECOND / TURNED_SPAN) for one in self.faded))
--- a/fieldspur/fleet/talk.py
+++ b/fieldspur/fleet/talk.py
@@ -27,7 +27,7 @@
 ASK = 64  # bytes that a reader may send: `watch N`
 SPARE = 64  # readers beyond four connections of each member: operators, and those that ended and are not seen yet
 SLOW = 2.0  # seconds that a reader may take for a line before its connection is closed
-LOOK = 1.0  # seconds between two looks at the Router's loads
+LOOK, LOOK_BACK = 1.0, 0.3  # seconds between two looks at the Router's loads; while a machine warms
 
 
 def now() -> int:
@@ -139,7 +139,7 @@
             if self.node.fenced != fenced:  # it says no more, and goes by what it knew until its lease on that has ended
                 fenced = True
                 log.error("fenced", extra={"kv": {"why": "a later process of this name is a member; this one takes part no more"}})
-            if time.monotonic() - looked >= LOOK:
+            if time.monotonic() - looked >= (LOOK_BACK if self.foreman.back() else LOOK):
                 looked = time.monotonic()
                 self.overlay.look(self.looked)
             with self.lock:
--- a/fieldspur/lab/emulate/servers.py
+++ b/fieldspur/lab/emulate/servers.py
@@ -8,11 +8,12 @@
 from typing import Callable
 
 from fieldspur.bench.plain import endpoint
-from fieldspur.lab import catalog, queues, wire
-from fieldspur.lab.check import Checker
-from fieldspur.lab.loop import Conn, Loop
-from fieldspur.lab.faults import Faults
-from fieldspur.lab.model import MS, SECOND, Asked, Server, Store
+from fieldspur.lab import catalog
+from fieldspur.lab.emulate import queues, wire
+from fieldspur.lab.emulate.faults import Faults
+from fieldspur.lab.emulate.loop import Conn, Loop
+from fieldspur.lab.emulate.model import MS, SECOND, Asked, Server, Store
+from fieldspur.lab.judge.check import Checker
 
 LINE_EVERY = SECOND  # the board's last number
 LOOK_QUEUES = 10 * MS  # at what is written to a server that reads nothing
--- /dev/null
+++ b/fieldspur/lab/judge/__init__.py
@@ -0,0 +1,1 @@
+"""What must hold, what came out, and reports of it."""
--- a/fieldspur/lab/judge/check.py
+++ b/fieldspur/lab/judge/check.py
@@ -59,6 +59,7 @@
         self.violations: dict[int, list[str]] = {rule: [] for rule in range(1, 6)}
         self.counts: Counter = Counter()
         self.lag = 0
+        self.asleep: dict[int, int] = {}  # routers that a fault stopped: until when what they owe may be late
 
     def broke(self, rule: int, text: str) -> None:
         self.counts[f"rule_{rule}"] += 1
@@ -83,6 +84,8 @@
         if one is None:
             self.broke(1, f"an answer to nobody, or a second one, on stream {stream}")
             return None
+        if at < self.asleep.get(getattr(conn, "router", -1), 0):
+            return None
         if one.withdrawn:  # it may cross the withdrawal, no later
             if at - one.withdrawn > SLACK + OWN + self.lag:
                 self.broke(1, f"txn {one.ident}: answered {(at - one.withdrawn) // MS} ms after it was withdrawn")
--- a/fieldspur/lab/judge/report.py
+++ b/fieldspur/lab/judge/report.py
@@ -49,6 +49,9 @@
         for name in ("worth", "p50_ms", "p99_ms"):
             if name in row:
                 yield f"{rule} {name}", row[name]
+    if "fleet" in run:
+        for name in ("orders", "length_s", "floor_s", "over_floor", "documents", "lines_a_second", "bytes_a_second"):
+            yield f"fleet {name.replace('_', ' ')}", run["fleet"][name]
     for n, row in enumerate(run.get("routers", ())):
         if row:
             yield f"router {n} cpu", row["cpu_share"]
@@ -128,11 +131,35 @@
     found = [picture("Share of importance answered in time, by when a txn was due", worth),
              picture("Txns open", open_txns), picture("Fills at the store, a second", fills),
              picture("Transfers at the busiest cache", crowd)]
+    if any("fleet" in run for run in runs):
+        found += [picture(f"Machines at work and who acts: {run['build']}", lambda axes, one, label, color, run=run: (
+            timeline(axes, run) if one is run else None)) for run in runs if run.get("fleet", {}).get("steps")]
     if any(run.get("routers") for run in runs):
         found.append(picture("Memory of the routers, MB", memory))
     return found
 
 
+STATES = {"waiting": "#ddd", "held": "#bbb", "next": "#fd8", "going": "#f93", "out": "#d33", "free": "#933", "back": "#6a6"}
+
+
+def timeline(axes, run: dict) -> None:
+    """A bar a machine, by what state its order was in; above, which member acted."""
+    steps, rows = run["fleet"]["steps"], {}
+    for step in steps:
+        rows.setdefault(step["machine"], []).append(step)
+    for at, (machine, found) in enumerate(sorted(rows.items())):
+        ends = [step["second"] for step in found[1:]] + [run["seconds"]]
+        for step, end in zip(found, ends):
+            if step["state"] in STATES:
+                axes.barh(at, end - step["second"], left=step["second"], color=STATES[step["state"]], height=0.8)
+    axes.set_yticks(range(len(rows)), sorted(rows), fontsize=6)
+    acting = run["fleet"]["acting"]
+    for at, row in enumerate(acting):
+        axes.text(max(0.0, row["second"]), len(rows), f"n{row['member']}", fontsize=7, color="#036")
+    axes.set_xlim(0, run["seconds"])
+    axes.set_ylim(-1, len(rows) + 1)
+
+
 def write(folder: Path, runs: list[dict]) -> Path:
     """`index.html` with everything in it, and the figures beside it as JSON."""
     import json
--- a/fieldspur/lab/plays/far.py
+++ b/fieldspur/lab/plays/far.py
@@ -16,12 +16,12 @@
 from fieldspur.host import (FILLED, FILLED_BY_ORIGIN, HIT, JOINED, NO_FILL_PLACE, ORIGIN_FAILED, PAST_FRESH, SOURCE_LACKS,
                             SOURCE_LOST, SOURCE_REFUSED)
 from fieldspur.lab import catalog
-from fieldspur.lab.check import MS, SECOND, Checker, Try
-from fieldspur.lab.faults import Faults
-from fieldspur.lab.model import Asked, Server, Store
-from fieldspur.lab.outcomes import Outcomes, Txn
-from fieldspur.lab.play import missed, recoveries
-from fieldspur.lab.scenario import Far
+from fieldspur.lab.emulate.faults import Faults
+from fieldspur.lab.emulate.model import Asked, Server, Store
+from fieldspur.lab.judge.check import MS, SECOND, Checker, Try
+from fieldspur.lab.judge.outcomes import Outcomes, Txn
+from fieldspur.lab.plays.play import missed, recoveries
+from fieldspur.lab.plays.scenario import Far
 from fieldspur.operators import BadFile
 from fieldspur.site import build_router, deployment
 
--- a/fieldspur/lab/plays/load.py
+++ b/fieldspur/lab/plays/load.py
@@ -8,10 +8,11 @@
 from collections import Counter
 from typing import Callable
 
-from fieldspur.lab import catalog, wire
-from fieldspur.lab.check import MS, SECOND, Checker, Try
-from fieldspur.lab.loop import Loop
-from fieldspur.lab.outcomes import Outcomes, Txn
+from fieldspur.lab import catalog
+from fieldspur.lab.emulate import wire
+from fieldspur.lab.emulate.loop import Loop
+from fieldspur.lab.judge.check import MS, SECOND, Checker, Try
+from fieldspur.lab.judge.outcomes import Outcomes, Txn
 
 MOST_OPEN = 30  # txns on one connection, below the protocol's 32
 AWAY = 300 * MS  # a router that could not be reached is asked again after that
--- a/fieldspur/lab/plays/scenario.py
+++ b/fieldspur/lab/plays/scenario.py
@@ -64,12 +64,14 @@
 
     at: float  # seconds from the start
     what: Literal["die", "silent", "stop", "slow", "reset", "garble", "late", "errors", "drain", "restart", "purge",
-                  "store_slow", "router_restart", "board_break", "reload"]
-    who: str = ""  # a server's name, "caches", "parents", or a router's number
+                  "store_slow", "router_restart", "board_break", "reload", "router_kill", "router_pause", "router_hup", "link_cut",
+                  "link_stall", "link_delay", "link_lose"]
+    who: str = ""  # a server's name, "caches", "parents", routers by number or "acting"; links: "0>1" (what 0 reads of 1), "0,1|2"
     share: float = 1.0  # of the servers that `who` names
     lasts: float = 0.0  # seconds after which it is over; 0: it stays
     times: float = 10.0  # slow and store_slow: so many times longer; late: ms more
     group: int = -1  # purge: of one group; below 0 all groups
+    forget: bool = False  # router_kill: what it kept in its folder is lost
 
 
 class Expect(Part, kw_only=True):
@@ -80,6 +82,32 @@
     p99_ms: float = 0.0  # most, of completed txns; 0: no bound
     fills: float = 0.0  # most fills at the store a txn; 0: no bound
     recovers_s: float = 0.0  # most seconds from a fault until worth is back at 0.9 of before; 0: no bound
+    orders: float = 0.0  # least share of a fleet's orders that are done
+
+
+class Ask(Part, kw_only=True):
+    """An order of work, asked for at one router."""
+
+    at: float
+    machine: str
+    needs_s: float
+    router: int = 0
+    beside: tuple[str, ...] = ()  # machines that must be out together with it
+    drop_at: float = 0.0  # second at which it is withdrawn; 0: never
+
+
+class Fleet(Part, kw_only=True):
+    """Routers that settle things among themselves, with a link of its own for each directed pair."""
+
+    lease_s: float = 1.5
+    folder: bool = False  # members keep what they promised on disk
+    unsure: Literal["serve", "turn_away"] = "serve"
+    bounds: dict[str, float] = {}  # of the operators' file
+    work: tuple[Ask, ...] = ()
+    way: Literal["fleet", "hand", "untouched"] = "fleet"  # who takes the machines out: routers, people by the board, nobody
+    hand_at_once: int = 1  # by hand: so many out together, in the order of `work`
+    hand_drain_s: float = 5.0  # ... a drain is given so long
+    hand_warm_s: float = 10.0  # ... and a machine that is back before the next goes
 
 
 class Far(Part, kw_only=True):
@@ -106,6 +134,7 @@
     faults: tuple[Fault, ...] = ()
     expect: Expect = Expect()
     far: Optional[Far] = None
+    fleet: Optional[Fleet] = None
 
 
 def parse(data: bytes, **changed) -> Scenario:
@@ -132,6 +161,8 @@
             raise BadFile(f"load.classes[{n}]: rate, kb, objects, parts and tries are above 0")
         if not 0 <= row.body <= 48_000:
             raise BadFile(f"load.classes[{n}].body: not within 0 to 48000")
+    if plan.fleet is not None:
+        check_fleet(plan)
     for n, fault in enumerate(plan.faults):
         if not 0 <= fault.at <= plan.seconds:
             raise BadFile(f"faults[{n}].at: not within the scenario")
@@ -140,6 +171,14 @@
     return plan
 
 
+def check_fleet(plan: Scenario) -> None:
+    if plan.routers < 2:
+        raise BadFile("routers: a fleet has 2 or more")
+    for n, ask in enumerate(plan.fleet.work):
+        if not 0 <= ask.at <= plan.seconds or ask.needs_s <= 0:
+            raise BadFile(f"fleet.work[{n}]: a moment within the scenario and seconds above 0 wanted")
+
+
 RULES = ("pages", "media", "checkout", "ledger")
 
 
@@ -158,6 +197,9 @@
     by = seconds / plan.seconds
     faults = tuple(msgspec.structs.replace(fault, at=fault.at * by, lasts=fault.lasts * by) for fault in plan.faults)
     waves = tuple((at * by, times) for at, times in plan.load.waves)
+    if plan.fleet is not None:
+        work = tuple(msgspec.structs.replace(ask, at=ask.at * by, drop_at=ask.drop_at * by) for ask in plan.fleet.work)
+        plan = msgspec.structs.replace(plan, fleet=msgspec.structs.replace(plan.fleet, work=work))
     return msgspec.structs.replace(plan, seconds=seconds, warm=plan.warm * min(1.0, by), faults=faults,
                                    load=msgspec.structs.replace(plan.load, waves=waves))
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -13,9 +13,12 @@
 
 from fieldspur import operators
 from fieldspur.cli import main
-from fieldspur.lab import catalog, far, model, play, queues, report, scenario, wire
-from fieldspur.lab.check import MS, SECOND, Checker, Try
-from fieldspur.lab.loop import Loop
+from fieldspur.lab import catalog
+from fieldspur.lab.emulate import model, queues, wire
+from fieldspur.lab.emulate.loop import Loop
+from fieldspur.lab.judge import report
+from fieldspur.lab.judge.check import MS, SECOND, Checker, Try
+from fieldspur.lab.plays import far, play, scenario
 
 SMALL = {
     "about": "each rule has its occasion", "seed": 5, "seconds": 7, "warm": 0.5, "routers": 1,
