--- a/fieldspur/cli.py
+++ b/fieldspur/cli.py
@@ -144,6 +144,23 @@
     click.echo(f"modules {counts['modules']}, files compiled {counts['compiled']}")
 
 
+@bench.command("takeover")
+@click.option("--kills", type=click.IntRange(1, 10_000), default=40, show_default=True)
+@click.option("--fleets", type=click.IntRange(1, 32), default=4, show_default=True, help="Side by side.")
+@click.option("--members", type=click.IntRange(3, 16), default=5, show_default=True)
+@click.option("--lease", type=click.FloatRange(0.3, 60), default=1.5, show_default=True, help="Seconds.")
+@click.option("--seed", type=int, default=1, show_default=True)
+def bench_takeover(kills, fleets, members, lease, seed) -> None:
+    """Seconds until another member of a fleet acts once who acts is killed, and comes back without memory."""
+    from fieldspur.bench import path, takeover
+
+    try:
+        found = takeover.measure(kills, fleets, members, lease, seed)
+    except path.BenchFailed as wrong:
+        raise click.ClickException(str(wrong)) from None
+    click.echo(json.dumps(found))
+
+
 @main.group()
 def lab() -> None:
     """The laboratory: emulated servers, load, failures, rules checked on the sockets."""
