--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -131,14 +131,14 @@
         self.board.move(node.board, node.known)
         kept = differences(self.node, node)
         kept += [key for key in ("memory", "interpreter", "start") if getattr(wishes, key) != getattr(self.wishes, key)]
-        fleet = replace(self.wishes.fleet, first=wishes.fleet.first, work=wishes.fleet.work)
-        if fleet != wishes.fleet:
-            kept.append("fleet")
+        first = wishes.fleet.first
         if self.talk is not None:
-            if fleet.first and not self.wishes.fleet.first:  # an operator's word, not one left in the file
+            if first and not self.wishes.fleet.first:  # an operator's word, not one left in the file
                 self.talk.found()
-            self.talk.wish(fleet.work)
-        self.wishes = replace(self.wishes, log=wishes.log, counts=wishes.counts, fleet=fleet)
+            kept += [] if self.talk.wish(wishes.fleet) else ["fleet"]
+        elif wishes.fleet != self.wishes.fleet:
+            kept.append("fleet")
+        self.wishes = replace(self.wishes, log=wishes.log, counts=wishes.counts, fleet=replace(self.wishes.fleet, first=first))
         logs.begin(level_of(node, wishes), wishes.log.lines_a_second)
         log.log(logging.WARNING if kept else logging.INFO, "reloaded", extra={"kv": {
             "board": "%s:%d" % node.board, "unchanged": ",".join(kept) or "-"}})
--- a/fieldspur/cli.py
+++ b/fieldspur/cli.py
@@ -343,25 +343,51 @@
     """Each member as it publishes itself. Code 1 where none acts."""
     desk, _, wishes = desk_of(file)
     found = desk.members(wishes)
-    acts = desk.acting(found)
+    acts, counted = desk.acting(found, wishes), desk.latest(found).routers
     rows = [{"member": name, "why": one} if isinstance(one, str) else {
-        "member": name, "zone": one.zone, "acts": name == acts, "counts": one.life > 0, "life": one.life,
-        "document": one.work.number, "goes_by": one.report.holds if one.report else None,
+        "member": name, "zone": one.zone, "votes": one.votes, "acts": name == acts,
+        "counts": one.life > 0 if one.votes else name in counted, "life": one.life,
+        "document": one.work.number if one.votes else None, "goes_by": one.report.holds if one.report else None,
         "in_doubt": one.report.doubt if one.report else None} for name, one in found.items()]
     if as_json:
         click.echo(json.dumps(rows))
     else:
-        click.echo(f"{'member':16}{'zone':12}{'acts':6}{'counts':8}{'document':10}{'goes by':9}in doubt")
+        click.echo(f"{'member':16}{'zone':12}{'votes':7}{'acts':6}{'counts':8}{'document':10}{'goes by':9}in doubt")
         for row in rows:
             if "why" in row:
                 click.echo(f"{row['member']:16}{row['why']}")
             else:
                 yes = {True: "yes", False: "no", None: "-"}
-                click.echo(f"{row['member']:16}{row['zone']:12}{yes[row['acts']]:6}{yes[row['counts']]:8}{row['document']:<10}"
-                           f"{'-' if row['goes_by'] is None else row['goes_by']:<9}{yes[row['in_doubt']]}")
+                shown = ["-" if row[key] is None else row[key] for key in ("document", "goes_by")]
+                click.echo(f"{row['member']:16}{row['zone']:12}{yes[row['votes']]:7}{yes[row['acts']]:6}{yes[row['counts']]:8}"
+                           f"{shown[0]:<10}{shown[1]:<9}{yes[row['in_doubt']]}")
     raise SystemExit(0 if acts else 1)
 
 
+def leaving(name: str, yes: bool, text: str):
+    @fleet.command(name, help=text)
+    @click.argument("member")
+    @operators_option
+    @click.option("--pid", type=int, help="The router's process; found by its LB_OPERATORS without it.")
+    def command(member, file, pid) -> None:
+        from fieldspur.operators import BadFile
+
+        desk, path, _ = desk_of(file)
+        try:
+            desk.out(path, member, yes)
+            desk.signalled(path, pid)
+        except BadFile as wrong:
+            raise Bad(f"{file}: {wrong}") from None
+        except desk.Refused as wrong:
+            raise click.ClickException(str(wrong)) from None
+        click.echo(f"{member} {'has left' if yes else 'may join'}")
+    return command
+
+
+leaving("leave", True, "A member that does not vote has been stopped for good: nothing waits for it any more.")
+leaving("join", False, "The opposite of leave.")
+
+
 @fleet.group("work")
 def fleet_work() -> None:
     """Machines that are taken out for work."""
--- a/fieldspur/fleet/desk.py
+++ b/fieldspur/fleet/desk.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from fieldspur.fleet import words, work
+from fieldspur.fleet import agree, words, work
 from fieldspur.fleet.foreman import Report, report
 from fieldspur.fleet.wishes import ident
 from fieldspur.operators import BadFile, Fleet, member, parse
@@ -28,10 +28,11 @@
 
 
 class Told(NamedTuple):
-    """What one member publishes."""
+    """What one member publishes. One that follows has no voice: `life` 0, no ballot, and a document only by number."""
 
     name: str
     zone: str
+    votes: bool
     life: int
     ballot: tuple
     ticks: bool  # it asks to act, and others keep the promise as far as it says
@@ -48,14 +49,16 @@
                 found = json.loads(file.readline(MOST_LINE) or b"null")
     except (OSError, ValueError, RecursionError):
         return None
-    return found if isinstance(found, dict) and "register" in found else None
+    return found if isinstance(found, dict) and ("register" in found or "follower" in found) else None
 
 
-def told(name: str, zone: str, line: dict, members: int) -> Told:
+def told(name: str, zone: str, line: dict, settle: int) -> Told:
     """From a member's line; raises BadWord or BadOrder where it is of another fleet or version."""
-    register = words.register(line["register"], members)
     raw = line.get("work")
-    return Told(name, zone, register.life, register.promised, line.get("tick", [[0, -1]])[0] == list(register.promised),
+    if "follower" in line:
+        return Told(name, zone, False, 0, agree.NO_BALLOT, False, work.NOTHING, report(raw, words.number(line.get("nonce"), "nonce")))
+    register = words.register(line["register"], settle)
+    return Told(name, zone, True, register.life, register.promised, line.get("tick", [[0, -1]])[0] == list(register.promised),
                 work.read(register.decided.value), report(raw, register.nonce) if raw is not None else None)
 
 
@@ -71,7 +74,7 @@
             found[name] = f"of another fleet: {line.get('fleet')}"
         else:
             try:
-                found[name] = told(name, zone, line, len(fleet.members))
+                found[name] = told(name, zone, line, len(fleet.votes or fleet.members))
             except (words.BadWord, work.BadOrder) as bad:
                 found[name] = f"of another version: {bad}"
     return found
@@ -81,12 +84,12 @@
     return max((one.work for one in found.values() if isinstance(one, Told)), key=lambda one: one.number, default=work.NOTHING)
 
 
-def acting(found: dict[str, Told | str]) -> str | None:
+def acting(found: dict[str, Told | str], fleet: Fleet) -> str | None:
     """The member whose ballot a majority keeps, by what they publish."""
+    names = sorted(fleet.votes or fleet.members)
     ballots = [one.ballot for one in found.values() if isinstance(one, Told) and one.life]
-    names = sorted(found)
     for ballot in set(ballots):
-        if ballot[1] >= 0 and ballots.count(ballot) > len(found) // 2:
+        if ballot[1] >= 0 and ballots.count(ballot) > len(names) // 2:
             holder = found[names[ballot[1]]]
             return holder.name if isinstance(holder, Told) and holder.ticks else None
     return None
@@ -106,13 +109,13 @@
     return json.loads(data), fleet
 
 
-def change(path: Path, what) -> Any:
-    """Applies `what(rows)` to the file's orders and writes the whole anew, so that a reader finds the old or the new one. Two at
+def change(path: Path, what, key: str = "work") -> Any:
+    """Applies `what(rows)` to the file's orders, or another list of its fleet, and writes the whole anew, so that a reader finds the old or the new one. Two at
     once take turns. Raises BadFile, and then nothing is changed; what `what` gives back."""
     with open(path.with_name(path.name + ".lock"), "w") as lock:
         fcntl.flock(lock, fcntl.LOCK_EX)
         value, _ = read(path)
-        rows = value["fleet"].setdefault("work", [])
+        rows = value["fleet"].setdefault(key, [])
         given = what(rows)
         data = (json.dumps(value, indent=2) + "\n").encode()
         parse(data)
@@ -164,6 +167,13 @@
     change(path, what)
 
 
+def out(path: Path, name: str, yes: bool) -> None:
+    """A member that does not vote has left for good, or may join again."""
+    def what(rows: list) -> None:
+        rows[:] = [row for row in rows if row != name] + [name] * yes
+    change(path, what, "left")
+
+
 def routers(path: Path) -> list[int]:
     """Processes of the program on this machine that read that operators' file, as far as this user may look."""
     found, wanted = [], path.resolve()
--- /dev/null
+++ b/fieldspur/fleet/follower.py
@@ -0,0 +1,64 @@
+"""A router that goes by what others settle, and has no voice in it. Free of I/O.
+
+Each that settles reads all others, which is the square of their number in the whole; so of many routers few settle, and the others
+read those few. They are told, asked and counted like them before a machine goes (`work.Work.routers`)."""
+
+from __future__ import annotations
+
+from fieldspur.fleet import agree, words
+from fieldspur.fleet.agree import Said
+from fieldspur.fleet.foreman import Foreman
+from fieldspur.fleet.members import Members
+from fieldspur.fleet.node import BEATS, Node, caught_up, may_be
+
+
+class Follower:
+    """Stands where a Node does. `members`: how many settle; `kept`: the document that it went by when it ended."""
+
+    fenced = False
+
+    def __init__(self, fleet: str, name: str, nonce: int, members: int, now: int, length: int, foreman: Foreman, kept: Said | None = None):
+        self.fleet, self.name, self.nonce, self.foreman = fleet, name, nonce, foreman
+        self.beat = length // BEATS
+        self.views: list = [None] * members
+        self.raw: list = [(None, None)] * members
+        self.members = Members(-1, members, now, self.beat, self.beat // 4)
+        self.resumed, self.decided = kept is not None, kept or agree.NOTHING
+        foreman.know(self.decided.value)
+
+    register_of = Node.register_of
+
+    def heard(self, member: int, value: dict, now: int) -> None:
+        """A line of one that settles; raises BadWord where it is none, or of another fleet."""
+        if value.get("fleet") != self.fleet:
+            raise words.BadWord(f"fleet: {str(value.get('fleet'))[:40]}")
+        register = self.register_of(member, value.get("register"))
+        self.foreman.heard(value, self.foreman.names[member], register.nonce, self.nonce, (register.decided.value,))
+        self.views[member] = register
+        self.members.line(member, register.nonce, now)
+        if register.decided.mark > self.decided.mark:
+            self.decided = register.decided
+            self.foreman.know(self.decided.value)
+
+    def alive(self, member: int, now: int) -> None:
+        if self.views[member] is not None:
+            self.members.line(member, self.views[member].nonce, now)
+
+    def tick(self, now: int) -> None:
+        self.members.looked(now)
+        self.foreman.tick(now, False, [], (), self.founded(), may_be(self.views))
+
+    def acts(self, now: int) -> bool:
+        return False
+
+    def founded(self) -> bool:
+        return any(one is None or one.life or one.back for one in self.views)
+
+    def knows(self) -> bool:
+        """It is counted, and knows as much of what is out as any process of it before may have said that it goes by; or there is no
+        fleet yet."""
+        remembers = self.resumed or caught_up(self.views)
+        return remembers and self.foreman.counted() or not self.founded()
+
+    def line(self) -> dict:
+        return {"fleet": self.fleet, "follower": self.name, "nonce": self.nonce, **self.foreman.line()}
--- a/fieldspur/fleet/foreman.py
+++ b/fieldspur/fleet/foreman.py
@@ -4,10 +4,10 @@
 from __future__ import annotations
 
 import math
-from typing import Any, NamedTuple
+from collections import Counter
+from typing import Any, Iterable, NamedTuple
 
 from fieldspur.fleet import plan, work, words
-from fieldspur.fleet.agree import Register
 from fieldspur.fleet.listed import Granted, Listed
 
 WELL, EJECTED, COLD = 0, 1, 2  # how a router finds a server
@@ -21,12 +21,14 @@
 IDLE = 0.05  # load over capacity of a location below which nothing can be told from loads
 NOTES_EVERY = 2_000_000_000  # ns between two documents that differ in words for the operator only
 PLAN_EVERY = 5_000_000_000  # ns after which a plan is made anew though nothing it was made for differs
+PARK_EVERY = 250_000_000  # the same for how the whole is seen
 DRAIN = 1.0  # s a drain is planned with before one was seen
 SLACK = 100_000_000  # ns beyond the longest time limit, after which nothing of a router that can't be heard is open
 
 
 class Load(NamedTuple):
-    """What one router says of one server: transfers at full pace that run there and that fit, txns a second, how it finds it."""
+    """What one router says of one server, or of many together: transfers at full pace that fit and that run there, txns a second, how
+    it finds it."""
 
     capacity: float
     load: float
@@ -34,6 +36,9 @@
     how: int
 
 
+NO_LOAD = Load(0.0, 0.0, 0.0, 0)
+
+
 class Report(NamedTuple):
     """What a member says of itself. `holds`: the document it goes by; `count`: its ask for a lease on the list; `open` hops and
     fills by machine that is kept off; `strict`: it serves nothing while it can't know the list."""
@@ -44,7 +49,8 @@
     open: dict
     strict: bool
     doubt: bool  # it can't know the list, and keeps off all that was announced to it
-    loads: dict
+    loads: dict | None  # by server: those on order, those that are not well; None: as it said before
+    rest: tuple  # all other caches and all other parents that it uses, each together
     turned: tuple  # txns a second that it turned away, and all
     asks: tuple
     zone: str
@@ -54,11 +60,11 @@
     """From what a line says under `work`; raises BadWord or BadOrder."""
     if type(raw) is not dict:
         raise words.BadWord("work: an object wanted")
-    open_at, loads, asks = raw.get("open"), raw.get("loads"), raw.get("asks")
+    open_at, loads, asks, rest = raw.get("open"), raw.get("loads"), raw.get("asks"), raw.get("rest")
     if type(open_at) is not dict or len(open_at) > work.MOST_ORDERS:
         raise words.BadWord("work.open: a short object wanted")
-    if type(loads) is not dict or len(loads) > MOST_LOADS:
-        raise words.BadWord("work.loads: a short object wanted")
+    if loads is not None and (type(loads) is not dict or len(loads) > MOST_LOADS or type(rest) is not list or len(rest) != 2):
+        raise words.BadWord("work.loads and work.rest: a short object and a pair wanted")
     if type(asks) is not list or len(asks) > MOST_ASKS:
         raise words.BadWord("work.asks: a short list wanted")
     turned = raw.get("turned")
@@ -70,11 +76,17 @@
     return Report(
         nonce, words.number(raw.get("holds"), "work.holds"), words.number(raw.get("count"), "work.count"),
         {name: words.number(many, "work.open") for name, many in open_at.items()}, raw["strict"], raw["doubt"],
-        {name: Load(*(figure(one, "work.loads") for one in row[:3]), words.number(row[3], "work.loads"))
-         for name, row in loads.items() if type(row) is list and len(row) >= 4},
+        {name: load(row) for name, row in loads.items()} if loads is not None else None,
+        tuple(map(load, rest)) if loads is not None else (NO_LOAD, NO_LOAD),
         tuple(figure(one, "work.turned") for one in turned), tuple(map(work.read_ask, asks)), zone)
 
 
+def load(raw: Any) -> Load:
+    if type(raw) is not list or len(raw) < 4:
+        raise words.BadWord("work.loads: three figures and a number wanted")
+    return Load(*(figure(one, "work.loads") for one in raw[:3]), words.number(raw[3], "work.loads"))
+
+
 def figure(raw: Any, name: str) -> float:
     if type(raw) not in (int, float) or not 0 <= raw < 1e12:
         raise words.BadWord(f"{name}: a figure of 0 or more wanted")
@@ -82,25 +94,27 @@
 
 
 class Foreman:
-    """`names` of all members in their order, `own` among them. `length` ns is a lease's, `longest` ns the longest time limit of a
+    """`names` of those that settle things, in their order; `own` is among them, or follows what they settle. `length` ns is a lease's, `longest` ns the longest time limit of a
     txn, `warm` ns from cold to full."""
 
     def __init__(self, names: list[str], own: str, zone: str, length: int, bounds: plan.Bounds, strict: bool, longest: int,
                  warm: int):
-        self.names, self.own, self.zone, self.me = names, own, zone, names.index(own)
+        self.names, self.own, self.zone = names, own, zone
         self.bounds, self.strict, self.longest, self.warm = bounds, strict, longest, warm
         self.beat = length // 6
         self.wishes: list[work.Wish] = []
         self.listed, self.granted = Listed(length), Granted(length)
-        self.reports: dict[int, Report] = {}
-        self.silent: set[int] = set()  # members whose lines say nothing of work: an older version
-        self.grants: dict[int, tuple] = {}  # of who acts here: the nonce and count last granted, by member
+        self.left: list[str] = []  # routers that an operator takes out
+        self.reports: dict[str, Report] = {}
+        self.silent: set[str] = set()  # members whose lines say nothing of work: an older version
+        self.grants: dict[str, tuple] = {}  # of who acts here: the nonce and count last granted, by member
         self.board: dict[str, work.Listing] = {}
         self.work, self.of = work.NOTHING, None  # as known here, and the value it was read from
         self.holds = 0  # the document that this router goes by
         self.open: dict[str, int] = {}
-        self.loads: dict[str, list] = {}
+        self.loads: dict[str, list] = {}  # of all servers that this router uses
         self.turned = (0.0, 0.0)
+        self.fresh_loads = False  # not published yet
         self.wall = 0  # Unix ms
         self.asked_at = self.looked_at = self.noted_at = self.note_at = 0
         self.acting = False
@@ -109,7 +123,10 @@
         self.drain = DRAIN
         self.bore: dict[str, float] = {}  # machine: its share of its location's load before it went
         self.planned_for, self.planned_at, self.planned = None, 0, None
+        self.wanted: set[str] = set()  # machines that are on order, or asked for
+        self.parked_for, self.parked_at, self.parked = None, 0, None
         self.doubt = False  # as of the last tick
+        self.perhaps: frozenset = frozenset()  # machines announced or out by documents that may be decided
         self.founded = True  # there is a fleet, or may be: until all were heard and none knows of one
 
     # What this router goes by.
@@ -123,7 +140,11 @@
 
     def off(self, now: int) -> frozenset:
         """The machines that this router keeps off at this moment."""
-        return self.work.machines(work.KEPT_OFF if self.listed.holds(now) else work.ANNOUNCED)
+        return self.work.machines(work.KEPT_OFF) if self.listed.holds(now) else self.announced()
+
+    def announced(self) -> frozenset:
+        """What may have gone since, for all this router knows."""
+        return self.work.machines(work.ANNOUNCED) | self.perhaps
 
     def back(self) -> frozenset:
         """(machine, number) of those that come back: they count as cold from when that was first heard here."""
@@ -131,57 +152,92 @@
 
     def in_doubt(self, now: int) -> bool:
         """This router can't know what followed on what it heard, and something may have."""
-        return not self.listed.holds(now) and (self.founded if self.strict else bool(self.work.machines(work.ANNOUNCED)))
+        return not self.listed.holds(now) and (self.founded if self.strict else bool(self.announced()))
 
     def applied(self, number: int, open_at: dict[str, int]) -> None:
         """This router keeps off what that document says; so much is still open at those machines."""
         self.holds, self.open = max(self.holds, number), open_at
 
+    def follows(self) -> bool:
+        return self.own not in self.names
+
+    def counted(self) -> bool:
+        """Nothing goes that this router may still use: it settles, or is in the document."""
+        return not self.follows() or self.own in self.work.routers
+
     def asks(self) -> tuple:
-        return work.asks(self.wishes, self.work, self.own)[:MOST_ASKS]
+        found = work.asks(self.wishes, self.work, self.own)
+        if not self.counted():
+            found = (("join", self.own), *found)
+        return (*(("leave", name) for name in self.left), *found)[:MOST_ASKS]  # so long as it stands in a file, none joins
 
     # Lines.
 
     def line(self) -> dict:
         found = {"holds": self.holds, "count": self.listed.count, "open": self.open, "strict": self.strict,
-                 "doubt": self.doubt, "loads": self.loads,
-                 "turned": list(self.turned), "asks": [list(one) for one in self.asks()], "zone": self.zone}
+                 "doubt": self.doubt, "turned": list(self.turned), "asks": [list(one) for one in self.asks()], "zone": self.zone}
+        if self.fresh_loads:  # soft, and the largest part: a line that is missed is made good by the next look
+            found["loads"], found["rest"] = self.summed()
         if self.acting:
-            found["grants"] = [[m, *self.grants[m]] for m in sorted(self.grants)]
+            found["grants"] = [[name, *self.grants[name]] for name in sorted(self.grants)]
         return {"work": found, "wants": []}  # members of an older version look for `wants`
 
-    def heard(self, value: dict, register: Register, own_nonce: int) -> None:
-        """A line of the member whose register that is; raises BadWord."""
+    def summed(self) -> tuple[dict, list]:
+        """What this router says of servers: each that is on order or not well by itself, the rest together, by kind."""
+        wanted = {one.machine for one in self.work.orders}
+        alone = {name: row for name, row in self.loads.items() if name in wanted or row[3] != WELL}
+        rest = [[0.0, 0.0, 0.0, 0], [0.0, 0.0, 0.0, 0]]
+        for name, row in self.loads.items():
+            if name not in alone:
+                into = rest[self.board.get(name, work.Listing()).kind == "parent"]
+                for at in range(3):
+                    into[at] = round(into[at] + row[at], 3)
+                into[3] += 1
+        return dict(sorted(alone.items())[:MOST_LOADS]), rest
+
+    def told(self) -> None:
+        """What `line` gave was published."""
+        self.fresh_loads = False
+
+    def heard(self, value: dict, name: str, nonce: int, own_nonce: int, agreed: Iterable = ()) -> None:
+        """A line of that member or follower, with the values in its register; raises BadWord."""
         try:
-            self.take(value, register, own_nonce)
+            for one in agreed:
+                work.read(one)
+            self.take(value.get("work"), name, nonce, own_nonce)
         except work.BadOrder as bad:
             raise words.BadWord(str(bad)) from None
 
-    def take(self, value: dict, register: Register, own_nonce: int) -> None:
-        for said in (register.accepted, register.said, register.decided):
-            work.read(said.value)
-        raw, member = value.get("work"), register.member
+    def take(self, raw: Any, name: str, nonce: int, own_nonce: int) -> None:
         if raw is None:
-            self.silent.add(member)
-            self.reports.pop(member, None)
+            self.silent.add(name)
+            self.reports.pop(name, None)
             return
-        found = report(raw, register.nonce)
+        found, before = report(raw, nonce), self.reports.get(name)
         grants = raw.get("grants", [])
-        if type(grants) is not list or len(grants) > len(self.names):
+        if type(grants) is not list or len(grants) > work.MOST_ROUTERS + len(self.names) or not all(
+                type(one) is list and len(one) == 3 and type(one[0]) is str for one in grants):
             raise words.BadWord("work.grants: a list of members wanted")
-        rows = [words.numbers(one, "work.grants", 3) for one in grants]
-        self.silent.discard(member)
-        self.reports[member] = found
+        rows = [(to, words.number(process, "work.grants"), words.number(count, "work.grants")) for to, process, count in grants]
+        self.silent.discard(name)
+        if found.loads is None:
+            found = found._replace(loads=before.loads, rest=before.rest) if before else found._replace(loads={})
+        self.reports[name] = found
         for to, process, count in rows:
-            if to == self.me and process == own_nonce:
+            if to == self.own and process == own_nonce:
                 self.listed.granted(count)
 
     # The passing of time.
 
-    def tick(self, now: int, acting: bool, values: list, gone: frozenset, founded: bool) -> None:
+    def tick(self, now: int, acting: bool, values: list, gone: Iterable, founded: bool,
+             may_be: Iterable = ()) -> None:
         """To be called about four times a beat, before the line of now is made. `values`: what is decided, and what may be: who
-        goes by an older document than they need gets no lease, for it may use what is out by one of them."""
-        self.acting, self.gone, self.founded = acting, gone, founded
+        goes by an older document than they need gets no lease, for it may use what is out by one of them. `gone`: members that are
+        suspected, by number or name. `may_be`: values that are decided somewhere, or may be, though not known here as such."""
+        self.perhaps = frozenset().union(*(found.machines(work.ANNOUNCED) for found in map(work.read, may_be)
+                                           if found.number > self.work.number))
+        self.acting, self.founded = acting, founded
+        self.gone = frozenset(self.names[one] if type(one) is int else one for one in gone)
         self.granted.acts(acting, now)
         self.doubt = self.in_doubt(now)
         if (self.work.orders or self.strict) and now - self.asked_at >= self.beat:
@@ -191,10 +247,11 @@
             self.grants = {}
             return
         least = max(work.read(value).least() for value in values)
-        for member, one in self.reports.items():
-            if one.count and one.holds >= least and self.grants.get(member) != (one.nonce, one.count):
-                self.grants[member] = (one.nonce, one.count)
-                self.granted.grant(member, now)
+        for name, one in self.reports.items():
+            counts = name in self.names or name in self.work.routers  # who acts next may not know of others
+            if counts and one.count and one.holds >= least and self.grants.get(name) != (one.nonce, one.count):
+                self.grants[name] = (one.nonce, one.count)
+                self.granted.grant(name, now)
         if self.holds >= least:
             self.listed.granted(self.listed.count)  # it acts: nobody else decides meanwhile
 
@@ -203,10 +260,11 @@
         if now - self.looked_at < self.beat // 4:
             return None
         self.looked_at = now
-        self.remember()
         before = work.read(value)
-        asked = [(self.names[m], one) for m, found in self.reports.items() for one in found.asks]
+        asked = [(name, one) for name, found in self.reports.items() for one in found.asks]
         asked += [(self.own, work.read_ask(one)) for one in self.asks()]
+        self.wanted = {one.machine for one in before.orders} | {one[2] for _, one in asked if one[0] == "add"}
+        self.remember(now)
         after = work.succeed(before, asked, self.sight(now))
         if after is None:
             return None
@@ -219,7 +277,7 @@
     # How who acts sees the whole.
 
     def sight(self, now: int) -> work.Sight:
-        return work.Sight(self.wall, self.board, self.park(), self.drain, self.warm / 1e9, self.not_told,
+        return work.Sight(self.wall, self.board, self.park(now), self.drain, self.warm / 1e9, self.not_told,
                           lambda number: self.may_use(number, now),
                           lambda machine, number: self.open_at(machine, number, now),
                           lambda free, running, park: self.plans(free, running, park, now),
@@ -228,69 +286,93 @@
     def plans(self, free: list, running: list, park: plan.Park, now: int) -> plan.Plan:
         """A plan costs some 30 ms for a dozen units: it is made anew where what it is made for differs, and now and then."""
         about = ([unit._replace(before=0.0) for unit in free], [unit.name for unit, _ in running], park.away, park.trouble,
+                 sorted(park.machines),
                  park.forbids(frozenset().union(*(unit.machines for unit, _ in running))))
         if about != self.planned_for or now - self.planned_at >= PLAN_EVERY:
             self.planned_for, self.planned_at, self.planned = about, now, plan.plan(free, running, park)
         return self.planned
 
-    def others(self) -> list[int]:
-        return [m for m in range(len(self.names)) if m != self.me]
+    def others(self) -> list[str]:
+        """All but this one that may use machines: who settles, and who follows and is counted."""
+        return [name for name in (*self.names, *self.work.routers) if name != self.own]
 
     def not_told(self, number: int) -> list[str]:
         """Members that have not said they go by that document, and serve on what they know when they can't know more."""
         found = [] if self.holds >= number else [self.own]
-        for m in self.others():
-            one = self.reports.get(m)
-            if one is None and self.strict and m not in self.silent or one is not None and (one.holds >= number or one.strict):
+        for name in self.others():
+            one = self.reports.get(name)
+            if one is None and self.strict and name not in self.silent or one is not None and (one.holds >= number or one.strict):
                 continue
-            found.append(self.names[m])
+            found.append(name)
         return found
 
     def may_use(self, number: int, now: int) -> list[str]:
         found = [] if self.holds >= number else [self.own]
-        return found + [self.names[m] for m in self.others()
-                        if not (m in self.reports and self.reports[m].holds >= number) and not self.granted.ended(m, now)]
+        return found + [name for name in self.others() if not (
+            name in self.reports and self.reports[name].holds >= number) and not self.granted.ended(name, now)]
 
     def open_at(self, machine: str, number: int, now: int) -> list[str]:
         """By their own word, that of one which can't hear this member too, once its lease has ended. Of one that is not heard
         either: once its lease has ended, and the longest time limit after it."""
         found = [self.own] if self.holds < number or self.open.get(machine, 1) else []
-        for m in self.others():
-            one = self.reports.get(m)
+        for name in self.others():
+            one = self.reports.get(name)
             if one is not None and not one.open.get(machine, 1) and (
-                    one.holds >= number or one.doubt and self.granted.ended(m, now)):
+                    one.holds >= number or one.doubt and self.granted.ended(name, now)):
                 continue
-            if m in self.gone and self.granted.ended(m, now, self.longest + SLACK):
+            heard = one is not None and name not in self.gone
+            if not heard and self.granted.ended(name, now, self.longest + SLACK):
                 continue
-            found.append(self.names[m])
+            found.append(name)
         return found
 
     def live(self) -> list[Report]:
-        mine = Report(0, self.holds, 0, self.open, self.strict, False, {name: Load(*row) for name, row in self.loads.items()},
-                      self.turned, (), self.zone)
-        return [mine, *(one for m, one in self.reports.items() if m not in self.gone)]
-
-    def park(self) -> plan.Park:
-        """All machines on the board, by what live routers say of them. Each router sees its own location only."""
+        loads, rest = self.summed()
+        mine = Report(0, self.holds, 0, self.open, self.strict, False, {name: Load(*row) for name, row in loads.items()},
+                      tuple(Load(*row) for row in rest), self.turned, (), self.zone)
+        return [mine, *(one for name, one in self.reports.items() if name not in self.gone)]
+
+    def park(self, now: int) -> plan.Park:
+        """As `made`, which looks at the whole board: anew where the board or the document is another, and a few times a second."""
+        about = (id(self.board), self.work.number, self.wanted)
+        if about != self.parked_for or now - self.parked_at >= PARK_EVERY:
+            self.parked_for, self.parked_at, self.parked = about, now, self.made()
+        return self.parked
+
+    def made(self) -> plan.Park:
+        """All machines, by what live routers say of them. Each router sees the caches of its own location, and all parents; those that
+        nobody speaks of by themselves stand together, as one that is never asked for."""
         live = self.live()
-        machines, told, trouble = {}, set(), {}
-        for name, listing in self.board.items():
+        machines, told, trouble = {}, {one.zone for one in live if one.loads or any(row.how for row in one.rest)}, {}
+        away = self.work.machines(work.AWAY)
+        for name in sorted({name for one in live for name in one.loads} | self.wanted):
+            listing = self.board.get(name, work.Listing())
             if not listing.kind:
                 continue
             rows = [one.loads[name] for one in live if name in one.loads]
             ill = sum(row.how == EJECTED for row in rows) * 2 > len(rows) or any(row.how == COLD for row in rows)
-            usable = listing.state == "up" and not ill
-            if rows:
-                told.add(listing.zone)
             capacities = sorted(row.capacity for row in rows) or [listing.rating]
             machines[name] = plan.Machine(
                 listing.zone, listing.kind == "parent", capacities[len(capacities) // 2], sum(row.load for row in rows),
-                sum(row.fills for row in rows), usable or name in self.work.machines(work.AWAY))
+                sum(row.fills for row in rows), listing.state == "up" and not ill or name in away)
+        for name, listing in self.board.items():
+            if listing.kind and listing.state == "draining" and name not in machines:
+                machines[name] = plan.Machine(listing.zone, listing.kind == "parent", listing.rating, 0.0, 0.0, False)
+        many = Counter((listing.zone, listing.kind) for name, listing in self.board.items()
+                       if listing.kind and listing.state == "up" and name not in machines)
+        for (zone, kind), count in many.items():
+            at = int(kind == "parent")
+            rest = [one.rest[at] for one in live if (at or one.zone == zone) and one.rest[at].how]
+            if rest:  # `how` of a sum is how many it stands for
+                share = count / max(one.how for one in rest)
+                machines[f"{zone} {kind}s"] = plan.Machine(
+                    zone, bool(at), share * sum(one.capacity for one in rest) / len(rest), share * sum(one.load for one in rest),
+                    share * sum(one.fills for one in rest))
         for zone in {one.zone for one in machines.values() if not one.parent}:
-            turned, all_txns = (sum(one.turned[at] for one in live if one.zone == zone) for at in (0, 1))
+            turned, every = (sum(one.turned[at] for one in live if one.zone == zone) for at in (0, 1))
             if zone not in told:
                 trouble[zone] = "no router there tells its load"
-            elif all_txns >= FEW and turned > BUSY_TROUBLE * all_txns:
+            elif every >= FEW and turned > BUSY_TROUBLE * every:
                 trouble[zone] = "txns are turned away there"
         return plan.Park(machines, self.bounds, trouble)
 
@@ -306,30 +388,30 @@
         rows = [one.loads[order.machine] for one in live if order.machine in one.loads]
         if any(row.how == COLD for row in rows):
             return "cold"
-        load, mine, even = self.part(order.machine, live)
+        load, mine, even = self.part(order.machine, self.park(now))
         wanted = load * min(even, self.bore.get(order.machine, even))
         grown = 1 - math.exp((since - now) / LOAD_SPAN)  # of what it bears, so much is seen in a fading mean by now
         if mine < BEARS * grown * wanted and now - since < PATIENT * self.warm:
             return f"bears {mine:.1f} of {wanted:.1f} transfers"
         return ""
 
-    def part(self, machine: str, live: list) -> tuple[float, float, float]:
+    def part(self, machine: str, park: plan.Park) -> tuple[float, float, float]:
         """The load of the machine's location, the machine's own, and its share were the load even; no load where little is to do."""
-        own = self.board[machine]
-        peers = [name for name, one in self.board.items() if one.state == "up" and (one.zone, one.kind) == (own.zone, own.kind)]
-        sums = [[sum(one.loads[name][at] for one in live for name in names if name in one.loads) for at in (0, 1)]
-                for names in (peers, [machine])]
-        (fits, load), (mine_fits, mine) = sums
-        return (load, mine, mine_fits / fits) if fits and load > IDLE * fits else (0.0, mine, 0.0)
-
-    def remember(self) -> None:
+        own = park.machines.get(machine)
+        if own is None:
+            return 0.0, 0.0, 0.0
+        peers = [one for one in park.machines.values() if (one.zone, one.parent) == (own.zone, own.parent)]
+        load, fits = sum(one.load for one in peers), sum(one.capacity for one in peers)
+        return (load, own.load, own.capacity / fits) if fits and load > IDLE * fits else (0.0, own.load, 0.0)
+
+    def remember(self, now: int) -> None:
         """What a machine bears before it goes is what it is to bear again."""
         there = {one.machine for one in self.work.orders}
         self.bore = {name: share for name, share in self.bore.items() if name in there}
-        live = self.live()
+        park = self.park(now)
         for order in self.work.orders:
             if order.state in (work.WAITING, work.NEXT) and order.machine in self.board:
-                load, mine, _ = self.part(order.machine, live)
+                load, mine, _ = self.part(order.machine, park)
                 if load:
                     self.bore[order.machine] = mine / load
 
--- a/fieldspur/fleet/members.py
+++ b/fieldspur/fleet/members.py
@@ -48,11 +48,12 @@
 
 
 class Members:
-    """All others, by number. `expected` ns lie between two lines of one, `look` ns between two calls of `looked`."""
+    """All others: those that settle by number, those that follow by name. `expected` ns lie between two lines of one, `look` ns between
+    two calls of `looked`."""
 
     def __init__(self, own: int, many: int, now: int, expected: int, look: int):
-        self.own, self.look, self.last = own, look, now
-        self.heard = {n: Heard(now, expected) for n in range(many) if n != own}
+        self.own, self.look, self.last, self.expected = own, look, now, expected
+        self.heard: dict = {n: Heard(now, expected) for n in range(many) if n != own}
 
     def looked(self, now: int) -> int:
         """To be called every `look` ns; how long this process stood still before, which is nobody's silence."""
@@ -63,11 +64,19 @@
             one.at = min(now, one.at + still)
         return still
 
-    def line(self, member: int, nonce: int, now: int) -> None:
+    def line(self, member, nonce: int, now: int) -> None:
+        if member not in self.heard:
+            self.heard[member] = Heard(now, self.expected)
         self.heard[member].line(nonce, now)
 
-    def phi(self, member: int, now: int) -> float:
+    def phi(self, member, now: int) -> float:
         return 0.0 if member == self.own else self.heard[member].phi(now)
 
-    def gone(self, member: int, now: int) -> bool:
+    def gone(self, member, now: int) -> bool:
         return self.phi(member, now) >= SUSPECT
+
+    def suspected(self, now: int) -> list:
+        return [member for member, one in self.heard.items() if one.phi(now) >= SUSPECT]
+
+    def forget(self, member) -> None:
+        self.heard.pop(member, None)
--- a/fieldspur/fleet/node.py
+++ b/fieldspur/fleet/node.py
@@ -14,6 +14,28 @@
 BEATS = 6  # ticks of its holder within a lease
 
 
+def follower_line(fleet: str, name: str, value: dict, foreman, own_nonce: int) -> None:
+    """Takes a follower's line, or raises BadWord."""
+    if value.get("fleet") != fleet:
+        raise words.BadWord(f"fleet: {str(value.get('fleet'))[:40]}")
+    if value.get("follower") != name:
+        raise words.BadWord(f"follower: {str(value.get('follower'))[:40]} at {name}'s address")
+    foreman.heard(value, name, words.number(value.get("nonce"), "nonce", 1), own_nonce)
+
+
+def caught_up(views: list, me: int = -1) -> bool:
+    """A majority of those that settle was heard, or all there are: what one of them has taken over is as late as any document that was
+    decided. Guards against a process without memory that hears one that lags, while its life before had said that it goes by a
+    later document: who acts may count on that word, and a machine go that this process would use."""
+    alive = [one for one in views if one is not None and one.life]
+    return len(alive) >= agree.majority(len(views)) or bool(alive) and all(one is not None for n, one in enumerate(views) if n != me)
+
+
+def may_be(views: list) -> list:
+    """Values that are decided, or that may be, as far as is known here."""
+    return [said.value for one in views if one is not None and one.life for said in (one.accepted, one.decided)]
+
+
 class Node:
     """`register` is what was kept, or blank. `length` ns is a lease's; all members have the same, and the same `fleet`."""
 
@@ -22,6 +44,7 @@
         self.fleet, self.register, self.me, self.foreman = fleet, register, register.member, foreman
         self.beat, self.random = length // BEATS, random.Random(seed)
         self.views: list = [None] * members
+        self.raw: list = [(None, None)] * members  # the register each said last, as it came and as it was read
         self.said: list = [None] * members
         self.ticks: list = [(NO_BALLOT, 0)] * members
         self.now = now
@@ -37,21 +60,38 @@
         """A line of that member; raises BadWord where it is none, or of another fleet."""
         if value.get("fleet") != self.fleet:
             raise words.BadWord(f"fleet: {str(value.get('fleet'))[:40]}")
-        register = words.register(value.get("register"), len(self.views))
-        if register.member != member:
-            raise words.BadWord(f"member: {register.member} at {member}'s address")
+        register = self.register_of(member, value.get("register"))
         backs, tick = (words.ticked(value.get(name), name) for name in ("backs", "tick"))
         if self.foreman is not None:
-            self.foreman.heard(value, register, self.register.nonce)
+            self.foreman.heard(value, self.foreman.names[member], register.nonce, self.register.nonce,
+                               (said.value for said in (register.accepted, register.said, register.decided)))
         self.said[member], self.ticks[member] = Backs(*backs), tick
         self.views[member] = register
         self.members.line(member, register.nonce, now)
         self.follow(now)
 
-    def alive(self, member: int, now: int) -> None:
+    def register_of(self, member: int, raw: Any) -> Register:
+        """What was read last stands for the same again: most lines bring a tick only."""
+        before, read = self.raw[member]
+        if raw == before and read is not None:
+            return read
+        register = words.register(raw, len(self.views))
+        if register.member != member:
+            raise words.BadWord(f"member: {register.member} at {member}'s address")
+        self.raw[member] = raw, register
+        return register
+
+    def heard_follower(self, name: str, value: dict, now: int) -> None:
+        """A line of a router that follows; raises BadWord where it is none, or of another fleet."""
+        follower_line(self.fleet, name, value, self.foreman, self.register.nonce)
+        self.members.line(name, value["nonce"], now)
+
+    def alive(self, member, now: int) -> None:
         """A line of it that tells nothing new. Guards against intervals learned while nothing happened: found with
         processes, where a killed member was followed after 5.4 s of a lease of 1 s."""
-        if self.views[member] is not None:
+        if type(member) is not int:
+            self.members.line(member, self.foreman.reports[member].nonce if member in self.foreman.reports else 0, now)
+        elif self.views[member] is not None:
             self.members.line(member, self.views[member].nonce, now)
 
     def found(self) -> None:
@@ -83,8 +123,8 @@
                 break
             self.register = said
             self.step(now)
-        if self.foreman is not None:
-            self.foreman.know(self.known().value)
+        if self.foreman is not None:  # of what is kept, where this member remembers: it may be asked later what it went by
+            self.foreman.know((self.register.decided if self.register.life else self.known()).value)
         if before.promised != self.register.promised:
             self.ask_at = now + self.pause()
 
@@ -101,8 +141,8 @@
         return any(one is None or one.life or one.back for one in self.seen())
 
     def knows(self) -> bool:
-        """This process knows what is out as far as anybody does: by memory, from one who knows, or as all know nothing."""
-        return any(one is not None and one.life for one in self.seen()) or not self.founded()
+        """This process knows as much of what is out as any before it may have said that it goes by."""
+        return self.register.life > 0 or not self.founded() or caught_up(self.views, self.me)
 
     def pause(self) -> int:
         """So long a member waits with a ballot of its own: by chance, over more beats the more members there are."""
@@ -113,9 +153,9 @@
         self.members.looked(now)
         self.follow(now)
         if self.foreman is not None:
-            gone = frozenset(m for m in range(len(self.views)) if self.members.gone(m, now))
             said = (self.known(), self.register.accepted, self.register.said)
-            self.foreman.tick(now, self.acts(now), [one.value for one in said], gone, self.founded())
+            self.foreman.tick(now, self.acts(now), [one.value for one in said], self.members.suspected(now), self.founded(),
+                              may_be(self.seen()))
         if self.fenced or not self.register.life:
             return
         if self.leads():
--- a/fieldspur/fleet/talk.py
+++ b/fieldspur/fleet/talk.py
@@ -13,6 +13,7 @@
 import time
 
 from fieldspur.fleet import agree, plan, work, words
+from fieldspur.fleet.follower import Follower
 from fieldspur.fleet.foreman import Foreman
 from fieldspur.fleet.node import Node
 from fieldspur.fleet.overlay import Overlay
@@ -20,6 +21,7 @@
 from fieldspur.fleet.wishes import wishes_of
 from fieldspur.net.board import Board
 from fieldspur.operators import Fleet, member
+from fieldspur.record import replace
 
 log = logging.getLogger("fieldspur.fleet")
 EVERY = 1.0  # most seconds between two lines where nothing changed: a bare number; a beat where that is shorter
@@ -27,6 +29,7 @@
 ASK = 64  # bytes that a reader may send: `watch N`
 SPARE = 64  # readers beyond four connections of each member: operators, and those that ended and are not seen yet
 SLOW = 2.0  # seconds that a reader may take for a line before its connection is closed
+QUIET = 5  # leases without anybody that acts, after which it is told
 LOOK, LOOK_BACK = 1.0, 0.3  # seconds between two looks at the Router's loads; while a machine warms
 
 
@@ -36,11 +39,14 @@
 
 
 class Peer(Board):
-    """Another member's lines, by the board's reader."""
+    """Another member's lines, by the board's reader. `number` among those that settle, or the name of one that follows."""
 
-    def __init__(self, talk: Talk, number: int, where: tuple[str, int], seed: int):
+    def __init__(self, talk: Talk, number: int | str, where: tuple[str, int], seed: int):
         super().__init__(where, self, seed)
         self.talk, self.number, self.unusable = talk, number, 0
+        self.name = number if isinstance(number, str) else talk.names[number]
+        self.wanted = threading.Event()  # its lines are
+        self.over = False
 
     def gather(self) -> None:
         """Each line is handled as it comes."""
@@ -49,19 +55,37 @@
         pass
 
     def lost(self, why: str) -> None:
-        log.warning("lost", extra={"kv": {"member": self.talk.names[self.number], "why": why}})
+        log.warning("lost", extra={"kv": {"member": self.name, "why": why}})
+
+    def want(self, yes: bool) -> None:
+        """Only who acts reads those that follow."""
+        if yes and not self.wanted.is_set():
+            self.wanted.set()
+        elif not yes and self.wanted.is_set():
+            self.wanted.clear()
+            self.move(self.where, [])  # ends the connection
+
+    def watch(self) -> None:
+        self.wanted.wait()
+        if self.over:
+            raise SystemExit  # of this thread
+        super().watch()
+
+    def end(self) -> None:
+        self.over = True
+        self.wanted.set()
+        self.move(self.where, [])
 
     def line(self, data: bytes) -> None:
         value = json.loads(data)
-        if isinstance(value, dict) and "register" in value:
+        if isinstance(value, dict) and ("register" in value or "follower" in value):
             self.last = value.get("rev") if type(value.get("rev")) is int else self.last
             try:
                 self.talk.heard(self.number, value)
             except words.BadWord as bad:  # a member of another version or fleet does not end the reading
                 self.unusable += 1
                 if self.unusable in (1, 10, 100, 1000):
-                    log.error("unusable", extra={"kv": {"member": self.talk.names[self.number], "why": str(bad),
-                                                        "times": self.unusable}})
+                    log.error("unusable", extra={"kv": {"member": self.name, "why": str(bad), "times": self.unusable}})
         elif type(value) is int:
             self.talk.alive(self.number)
 
@@ -71,63 +95,76 @@
     where it can't listen."""
 
     def __init__(self, wishes: Fleet, own: str, seed: int, overlay: Overlay):
-        self.names = sorted(wishes.members)
-        me, many, length = self.names.index(own), len(self.names), int(wishes.lease_s * 1e9)
+        self.names = sorted(wishes.votes or wishes.members)
+        self.wishes, self.own, self.seed, self.overlay = wishes, own, seed, overlay
+        many, length = len(self.names), int(wishes.lease_s * 1e9)
         nonce = int.from_bytes(os.urandom(6), "big") + 1
-        self.store = Store(wishes.folder, wishes.name, me, many) if wishes.folder else None
+        votes = own in self.names
+        me = self.names.index(own) if votes else 0
+        self.store = Store(wishes.folder, wishes.name if votes else f"{wishes.name}, followed", me, many) if wishes.folder else None
         kept = self.store.load() if self.store else None
-        register = agree.resume(kept, nonce) if kept is not None else agree.blank(me, many, nonce)
         site, bounds = overlay.site, wishes.bounds
         longest = max((rule.limit for rule in site.rules), default=0)
-        self.overlay = overlay
         self.foreman = Foreman(
             self.names, own, site.zones[site.fleet["zone"]], length, plan.Bounds(
                 bounds.zone, bounds.all, bounds.both, bounds.headroom, bounds.fills_s, bounds.parents, bounds.at_once),
             wishes.unsure == "turn_away", longest, max(site.fleet["cache_cold"][1], site.fleet["parent_cold"][1]))
-        self.foreman.wishes = wishes_of(wishes.work, "fleet.work")
-        self.node = Node(wishes.name, register, many, now(), length, seed, kept is None, self.foreman)
+        self.foreman.wishes, self.foreman.left = wishes_of(wishes.work, "fleet.work"), list(wishes.left)
         try:
-            for said in (register.accepted, register.said, register.decided):
+            for said in (kept.accepted, kept.said, kept.decided) if kept is not None else ():
                 work.read(said.value)
-            self.foreman.know(register.decided.value)
         except work.BadOrder as wrong:
             raise NotKept(f"what was kept is of another version: {wrong}") from None
+        if votes:
+            register = agree.resume(kept, nonce) if kept is not None else agree.blank(me, many, nonce)
+            self.node = Node(wishes.name, register, many, now(), length, seed, kept is None, self.foreman)
+            self.foreman.know(register.decided.value)
+        else:
+            self.node = Follower(wishes.name, own, nonce, many, now(), length, self.foreman, kept.decided if kept else None)
+        self.votes = votes
         self.every = min(EVERY, self.node.beat / 1e9)
-        self.kept, self.failed, self.acting, self.life = kept, False, False, register.life
+        self.kept, self.failed, self.acting, self.life = kept, False, False, kept.life if votes and kept else 0
         self.rev, self.data, self.last = 0, b"", {}
         self.known = threading.Event()  # set once this member knows what is out, or that nobody does
         self.unsure, self.shown = frozenset(), work.NOTHING  # what may only be used by lease; the document last logged
+        self.quiet_since, self.quiet_told = 0, False  # since when nobody is known to act
         self.applying = threading.Lock()
         self.lock = threading.Lock()  # of the node
         self.told = threading.Condition()  # of the line
         self.watchers = 0
-        addresses = [member(wishes.members[name])[0] for name in self.names]
-        self.listener = socket.create_server(addresses[me], backlog=many)
-        self.peers = [Peer(self, n, where, seed + n) for n, where in enumerate(addresses) if n != me]
+        self.listener = socket.create_server(member(wishes.members[own])[0], backlog=min(512, len(wishes.members)))
+        self.peers = [Peer(self, n, member(wishes.members[name])[0], seed + n) for n, name in enumerate(self.names) if name != own]
+        for peer in self.peers:
+            peer.want(True)
+        self.followers: dict[str, Peer] = {}  # read while this member acts
         overlay.doubted(self.doubted)
         self.apply()
-        log.info("member", extra={"kv": {"fleet": wishes.name, "member": own, "of": many, "memory": kept is not None}})
+        log.info("member", extra={"kv": {"fleet": wishes.name, "member": own, "of": len(wishes.members), "votes": votes,
+                                         "memory": kept is not None}})
 
     def start(self) -> None:
         self.publish()
         threads = [("fleet", self.run), ("fleet-listen", self.accept)]
-        threads += [(f"fleet-{self.names[peer.number]}", peer.run) for peer in self.peers]
+        threads += [(f"fleet-{peer.name}", peer.run) for peer in self.peers]
         for name, run in threads:
             threading.Thread(target=run, name=name, daemon=True).start()
 
     # Of the node, one at a time.
 
-    def heard(self, number: int, value: dict) -> None:
+    def heard(self, number: int | str, value: dict) -> None:
         with self.lock:
             before = self.foreman.work.number
-            self.node.heard(number, value, now())
+            if isinstance(number, str):
+                self.node.heard_follower(number, value, now())
+            else:
+                self.node.heard(number, value, now())
             self.keep()
             fresh = self.foreman.work.number != before
         if fresh:
             self.apply()
             self.publish()
 
-    def alive(self, number: int) -> None:
+    def alive(self, number: int | str) -> None:
         """Nothing new there, but it is."""
         with self.lock:
             self.node.alive(number, now())
@@ -146,17 +183,47 @@
                 self.foreman.wall, self.foreman.board = time.time_ns() // 1_000_000, self.overlay.listings
                 self.node.tick(now())
                 self.keep()
-                acts, life, promised = self.node.acts(now()), self.node.register.life, self.node.register.promised
+                acts = self.node.acts(now())
             self.apply()
             self.publish()
-            if life != self.life:
-                self.life = life
-                log.info("counts_again", extra={"kv": {"life": life}})
-            if acts != self.acting:
-                self.acting = acts
-                log.info("acting" if acts else "acts_no_more", extra={"kv": {"ballot": "%d.%d" % promised}})
+            if self.votes:
+                self.speak(acts)
+
+    def speak(self, acts: bool) -> None:
+        """What has changed of this member's part, for the log; and whom it reads."""
+        with self.lock:
+            life, promised = self.node.register.life, self.node.register.promised
+            followed = acts or self.node.followed(now())
+        if life != self.life:
+            self.life = life
+            log.info("counts_again", extra={"kv": {"life": life}})
+        if acts != self.acting:
+            self.acting = acts
+            log.info("acting" if acts else "acts_no_more", extra={"kv": {"ballot": "%d.%d" % promised}})
+        self.read_followers(acts)
+        if followed:
+            self.quiet_since, self.quiet_told = 0, False
+        elif not self.quiet_since:
+            self.quiet_since = now()
+        elif not self.quiet_told and now() - self.quiet_since > QUIET * self.node.lease.length:
+            self.quiet_told = True
+            log.warning("nobody_acts", extra={"kv": {"counts": sum(one is not None and one.life > 0 for one in self.node.seen()),
+                                                     "of": len(self.names)}})
+
+    def read_followers(self, yes: bool) -> None:
+        members = self.wishes.members
+        wanted = {name for name in members if name not in self.names and name != self.own}
+        for name in set(self.followers) - wanted:
+            self.followers.pop(name).end()
+            with self.lock:
+                self.node.members.forget(name)
+        for n, name in enumerate(sorted(wanted - set(self.followers)) if yes else ()):
+            peer = self.followers[name] = Peer(self, name, member(members[name])[0], self.seed + len(self.names) + n)
+            threading.Thread(target=peer.run, name=f"fleet-{name}", daemon=True).start()
+        for peer in self.followers.values():
+            peer.want(yes)
     def looked(self, loads: dict, turned: tuple) -> None:
-        self.foreman.loads, self.foreman.turned = loads, turned
+        self.foreman.loads, self.foreman.turned, self.foreman.fresh_loads = loads, turned, True
 
     # What is out.
 
@@ -167,11 +234,12 @@
                 at = now()
                 found, off, backs = self.foreman.work, self.foreman.off(at), self.foreman.back()
                 doubt, sure = self.foreman.in_doubt(at), self.node.knows()
-            self.unsure = found.machines(work.ANNOUNCED)
+            self.unsure = self.foreman.announced()
             self.overlay.keep_off(off, backs)
             open_at = self.overlay.open_at(sorted(self.unsure))
             with self.lock:
-                self.foreman.applied(found.number, open_at)
+                if not self.failed:  # what is not on disk is not said: after a crash this member would not know it
+                    self.foreman.applied(found.number, open_at)
             if self.foreman.strict:
                 self.overlay.turn_away(doubt)
             if sure:
@@ -204,15 +272,24 @@
                 log.log(logging.ERROR if one.how == work.REFUSED else logging.INFO, "work_ended", extra={"kv": {
                     "order": one.ident, "machine": one.machine, "how": one.how, "why": one.why or "-"}})
 
-    def wish(self, rows: list) -> None:
-        """An operators' file was read again."""
+    def wish(self, fleet: Fleet) -> bool:
+        """An operators' file was read again; whether all of it is taken over. Members that vote, and what a member is, stay."""
+        same = replace(fleet, members=self.wishes.members, work=self.wishes.work, left=self.wishes.left, first=self.wishes.first)
+        mine = {name: fleet.members.get(name) for name in (*self.names, self.own)}
+        if mine != {name: self.wishes.members[name] for name in mine} or same != self.wishes:
+            fleet = replace(self.wishes, work=fleet.work, left=fleet.left)
+            same = None
         with self.lock:
-            self.foreman.wishes = wishes_of(rows, "fleet.work")
+            self.foreman.wishes, self.foreman.left = wishes_of(fleet.work, "fleet.work"), list(fleet.left)
+            self.wishes = fleet
+        return same is not None
 
     def found(self) -> None:
         """An operator's word that there was no fleet before; refused with the reason in the log."""
         with self.lock:
             try:
+                if not self.votes:
+                    raise ValueError("this member does not vote")
                 self.node.found()
                 self.keep()
             except ValueError as wrong:
@@ -221,8 +298,11 @@
 
     def keep(self) -> None:
         """What is not on disk is not so: this member goes on from what is, and says nothing new."""
-        register = self.node.register
-        if self.store is None or register == self.kept:
+        if self.store is None:
+            return
+        register = self.node.register if self.votes else agree.blank(0, len(self.names), self.node.nonce)._replace(
+            life=1, decided=self.node.decided)
+        if register == self.kept:
             return
         if not register.life:  # knows nothing that is worth a write; and must not stand in for what is kept
             return
@@ -230,7 +310,8 @@
             self.store.keep(register)
             self.kept, self.failed = register, False
         except NotKept as wrong:
-            self.node.register = self.kept or agree.blank(register.member, len(self.names), register.nonce)
+            if self.votes:
+                self.node.register = self.kept or agree.blank(register.member, len(self.names), register.nonce)
             if not self.failed:
                 log.error("not_kept", extra={"kv": {"why": str(wrong)}})
             self.failed = True
@@ -240,6 +321,7 @@
     def publish(self) -> None:
         with self.lock:
             line = self.node.line()
+            self.foreman.told()
         if line == self.last or self.node.fenced:
             return
         with self.told:
@@ -255,7 +337,7 @@
                 log.error("accept", extra={"kv": {"why": str(wrong)}})
                 time.sleep(EVERY)
                 continue
-            if self.watchers >= 4 * len(self.names) + SPARE:
+            if self.watchers >= 4 * len(self.wishes.members) + SPARE:
                 conn.close()
                 continue
             try:
--- a/fieldspur/fleet/work.py
+++ b/fieldspur/fleet/work.py
@@ -21,7 +21,7 @@
 ANNOUNCED = (NEXT, *KEPT_OFF)  # nor one that can't know what followed
 AWAY = (GOING, OUT, FREE, BACK)  # out as the bounds count, until it bears its part
 DONE, DROPPED, REFUSED = "done", "dropped", "refused"
-MOST_ORDERS, MOST_ENDED = 64, 128
+MOST_ORDERS, MOST_ENDED, MOST_ROUTERS = 64, 128, 256
 MOST_NAME, MOST_WITH, MOST_NOTE = 64, 8, 160  # characters, machines, characters
 LONGEST = 7 * 86_400  # s that work on a machine may take
 OVERDUE = 1.5  # times what it needs, after which an operator is told
@@ -74,6 +74,7 @@
     number: int = 0
     orders: tuple[Order, ...] = ()
     ended: tuple[Ended, ...] = ()
+    routers: tuple[str, ...] = ()  # that follow and are counted: nothing goes that they may still use; who settles is counted anyway
 
     def of(self, ident: str) -> Order | None:
         return next((one for one in self.orders if one.ident == ident), None)
@@ -94,7 +95,8 @@
 
 def value(work: Work) -> list:
     """As it is agreed and published: lists of plain values."""
-    return [work.number, [list(one._replace(beside=list(one.beside))) for one in work.orders], [list(one) for one in work.ended]]
+    return [work.number, [list(one._replace(beside=list(one.beside))) for one in work.orders], [list(one) for one in work.ended],
+            list(work.routers)]
 
 
 KINDS = {"str": (str,), "float": (int, float), "int": (int,), "tuple": (tuple, list), "bool": (bool,)}
@@ -130,8 +132,11 @@
     for n, one in enumerate(orders):
         if one.state not in STATES or not all(type(name) is str for name in one.beside):
             raise BadOrder(f"work.orders[{n}].state: none of {', '.join(STATES)}")
+    routers = raw[3] if len(raw) > 3 else ()
+    if type(routers) is not tuple or not all(type(one) is str for one in routers):
+        raise BadOrder("work.routers: names wanted")
     return Work(raw[0], tuple(one._replace(beside=tuple(one.beside)) for one in orders),
-                tuple(row(Ended, one, f"work.ended[{n}]") for n, one in enumerate(raw[2])))
+                tuple(row(Ended, one, f"work.ended[{n}]") for n, one in enumerate(raw[2])), routers)
 
 
 # What members ask for.
@@ -229,13 +234,25 @@
     return ""
 
 
+def counted(work: Work, verb: str, name: str, by: str, asked: list) -> Work:
+    """A router joins by its own word, and leaves by an operator's at any member, which goes before."""
+    leaves = verb == "leave" or any(ask[:2] == ("leave", name) for _, ask in asked)
+    if leaves:
+        return work._replace(routers=tuple(one for one in work.routers if one != name))
+    if by != name or name in work.routers or len(work.routers) >= MOST_ROUTERS:
+        return work
+    return work._replace(routers=tuple(sorted((*work.routers, name))))
+
+
 def taken(work: Work, asked: Iterable[tuple[str, tuple]], sight: Sight) -> Work:
     """The document with what members ask for: (member, ask) each, in an order that does not matter to what is refused twice."""
-    number = work.number + 1
-    for by, ask in sorted(asked):
+    number, asked = work.number + 1, sorted(asked)
+    for by, ask in asked:
         verb, ident = ask[:2]
         order = work.of(ident)
-        if verb == "add" and not work.knows(ident):
+        if verb in ("join", "leave"):
+            work = counted(work, verb, ident, by, asked)
+        elif verb == "add" and not work.knows(ident):
             if why := refusal(work, ask, by, sight):
                 work = end(work, Order(ident, by, *ask[2:6]), REFUSED, why, number)
             else:
--- a/fieldspur/operators.py
+++ b/fieldspur/operators.py
@@ -80,6 +80,9 @@
     name: str = Field("", about={"description": "the fleet's name; empty: no fleet"})
     members: dict[str, str] = Field({}, about={
         "description": "all members, this router too: name to \"ADDRESS:PORT ZONE\", where each publishes its lines"})
+    votes: list[str] = Field([], about={
+        "description": "the members that settle things, 3, 5 or 7 of many; the others go by what those settle; empty: all do"})
+    left: list[str] = Field([], about={"description": "members that do not vote and have been stopped for good: nothing waits for them"})
     folder: str = Field("", about={"description": "where this member keeps what it promised; empty: in memory only"})
     lease_s: float = key(1.5, 0.3, 60.0, "seconds that a member acts for the fleet without word of a majority")
     first: bool = Field(False, about={
@@ -126,6 +129,16 @@
         if where in seen:
             raise BadFile(f"{path}.members.{name}: the address of {seen[where]}")
         seen[where] = name
+    for n, name in enumerate(value.votes):
+        if name not in value.members or name in value.votes[:n]:
+            raise BadFile(f"{path}.votes[{n}]: {name}, no member or there twice")
+    if value.votes and len(value.votes) < 2:
+        raise BadFile(f"{path}.votes: 2 or more wanted, or none for all members")
+    if len(value.left) > 16:
+        raise BadFile(f"{path}.left: {len(value.left)} names, 16 at most; take those out of members")
+    for n, name in enumerate(value.left):
+        if name in (value.votes or value.members):
+            raise BadFile(f"{path}.left[{n}]: {name} votes")
     from fieldspur.fleet.wishes import BadOrder, wishes_of  # only where there is a fleet
     try:
         wishes_of(value.work, f"{path}.work")
--- a/tests/test_fleet_desk.py
+++ b/tests/test_fleet_desk.py
@@ -48,6 +48,23 @@
     assert "no majority has agreed on it" in call("work", "add", "c0", "--needs", 5, "--wait", 1, "--operators", files[2], code=1)
 
 
+def test_a_router_that_follows_is_shown_leaves_and_joins_from_the_command_line(routers):
+    fleet = routers(4, votes=["r0", "r1", "r2"])
+    fleet.found()
+    file = fleet.folder / "r0" / "operators.json"
+    file.write_text(json.dumps(fleet.wishes(0)))
+
+    def row():
+        return json.loads(call("show", "--operators", file, "--json"))[3]
+    until(lambda: row()["counts"])
+    assert row()["votes"] is False and row()["document"] is None and "r3" in call("show", "--operators", file)
+    assert "r1 votes" in call("leave", "r1", "--operators", file, code=2)
+    assert "has left" in call("leave", "r3", "--operators", file)
+    until(lambda: not row()["counts"])
+    call("join", "r3", "--operators", file)
+    until(lambda: row()["counts"])
+
+
 FILE = {"fleet": {"name": "v", "members": {"a": "127.0.0.1:1 z", "b": "127.0.0.1:2 z"}}}
 
 
