A router that starts in doubt and is to turn away stays shut once its start's gate opens

Seen by reading: `Talk` posts the shut gate before `Service.start` sets the start's own, which takes its place and then opens; the router decided on txns, and each of its hops was taken back as doubtful (`send.doubt`), so nothing went where it must not, but txns went round the servers before they were turned away. Lines: overlay.py `turn_away`, __main__.py `start`. The overlay now waits for the start to have opened. The test restarts a router that hears nobody and looks for `event=shut`; it fails without the fix.

--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -95,6 +95,8 @@
         if self.talk is not None and not self.talk.known.wait(max(0.0, wait - (time.monotonic() - began))):
             log.warning("fleet_unheard", extra={"kv": {"why": "no member told what is out for work; the board's list stands"}})
         self.route.post(self.route.open, "current" if told else "no word of the board")
+        if self.talk is not None:
+            self.talk.overlay.opened()
         self.takein.ready = True
 
     def pauses(self, phase: str, _about: dict) -> None:
--- a/fieldspur/fleet/overlay.py
+++ b/fieldspur/fleet/overlay.py
@@ -39,7 +39,7 @@
         self.back: dict[str, int] = {}  # machine: Unix ns at which it was heard to be back
         self.backs: frozenset = frozenset()  # (machine, number) that were heard
         self.listings: dict[str, Listing] = {}
-        self.shut = False
+        self.shut = self.started = False
         self.txns = (0, 0, 0)  # turned away and all so far, as of when
         self.faded = (0.0, 0.0)  # of those, what of the last seconds counts still
 
@@ -96,11 +96,19 @@
         if yes == self.shut:
             return
         self.shut = yes
+        if not self.started:  # the start's own gate is there still
+            return
         if yes:
             self.route.post(self.route.shut, Shut(), "no word of the fleet")
         else:
             self.route.post(self.route.open, "word of the fleet")
 
+    def opened(self) -> None:
+        """The start's gate has opened. Guards against a router that starts in doubt and serves, for its doubt was older."""
+        self.started = True
+        if self.shut:
+            self.route.post(self.route.shut, Shut(), "no word of the fleet")
+
     def open_at(self, machines) -> dict[str, int]:
         """Hops that are open there, and those that name it as their source."""
         found, servers = {}, self.route.router.fleet.servers
--- a/fieldspur/fleet/talk.py
+++ b/fieldspur/fleet/talk.py
@@ -222,6 +222,7 @@
             threading.Thread(target=peer.run, name=f"fleet-{name}", daemon=True).start()
         for peer in self.followers.values():
             peer.want(yes)
+
     def looked(self, loads: dict, turned: tuple) -> None:
         self.foreman.loads, self.foreman.turned, self.foreman.fresh_loads = loads, turned, True
 
--- a/tests/test_fleet_work_processes.py
+++ b/tests/test_fleet_work_processes.py
@@ -219,6 +219,11 @@
     client.ask(1, txn="f" * 16)
     answer = client.get()
     assert answer[2] == 66 and int(answer[3]["later"]) > 0 and time.monotonic() - began < 0.3
+    fleet.kill(alone)
+    fleet.restart(alone)  # that it starts anew, and hears nobody, makes it no wiser
+    client = fleet.all[alone].client()
+    client.ask(1, txn="e" * 16)
+    assert client.get()[2] == 66 and "event=shut" in fleet.all[alone].lines()
     served = crowd.answers[alone]
     for link in fleet.links.values():
         link.cuts(False)
