--- a/tests/test_fleet_work_processes.py
+++ b/tests/test_fleet_work_processes.py
@@ -223,7 +223,8 @@
     fleet.restart(alone)  # that it starts anew, and hears nobody, makes it no wiser
     client = fleet.all[alone].client()
     client.ask(1, txn="e" * 16)
-    assert client.get()[2] == 66 and "event=shut" in fleet.all[alone].lines()
+    said = fleet.all[alone].lines()
+    assert client.get()[2] == 66 and said.rindex("event=shut") > said.rindex("event=open")
     served = crowd.answers[alone]
     for link in fleet.links.values():
         link.cuts(False)
