A test of a cut-off router waits until who acts knows that it was told

The play cut the router off in the step in which it was told, before its word was heard: the order then rightly waits for it (`r0 has not heard of it`).

--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -26,9 +26,9 @@
 
 
 def told(yard, n):
-    """That router goes by a document in which c0 is next."""
-    found = yard.nodes[n].foreman.work.of("w-c0")
-    return found is not None and found.state == work.NEXT and yard.nodes[n].foreman.holds >= found.at
+    """That router was told that c0 is next, and who acts knows it."""
+    found, heard = yard.nodes[n].foreman.work.of("w-c0"), yard.nodes[yard.acted[-1]].foreman.reports.get(f"r{n}")
+    return found is not None and heard is not None and heard.holds >= found.next_at > 0
 
 
 def whole(yard):
