--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -36,6 +36,7 @@
                      "    if value and not self.foreman.acting:\n"
                      "        found['register']['decided'][1] = (value[0], tuple((*o[:-1], 'mine') for o in value[1]), value[2])\n"
                      "    return found\nNode.line = other\n"}
+LATE = [{"at": 3, "what": "late", "who": "caches", "times": 400}]  # so that something is open at each cache at any moment
 FOUND = {"it uses what is out": "rule 3", "free too early": "was said to be free", "no bounds": "machines away",
          "two documents": "is not the same at member"}
 
@@ -50,7 +51,7 @@
     whole = play.play(small())
     with ThreadPoolExecutor(4) as pool:
         broken = dict(zip(SABOTAGE, pool.map(
-            lambda code: play.play(small(faults=[]), command=[sys.executable, "-O", "-c", code + start]), SABOTAGE.values())))
+            lambda code: play.play(small(faults=LATE), command=[sys.executable, "-O", "-c", code + start]), SABOTAGE.values())))
     return whole, broken
 
 
