Planner: a share at its bound is not past it by what capacities differ from look to look

Since routers tell the rest of a location in sum, its total moves by some thousandths, and three of thirty at 0.1 are past it or not by chance. Lines: plan.py `judge`, `judge_zone`. Both shares now have 2%, by which seen capacities differ. Ruled out: leases (no `may still use it` there). Test of plan; it fails without. It might hurt where 2% of a location is a machine: more than fifty caches of equal size and a bound just below.

--- a/fieldspur/fleet/plan.py
+++ b/fieldspur/fleet/plan.py
@@ -10,6 +10,7 @@
 import itertools
 from typing import Iterable, NamedTuple
 
+SEEN = 0.02  # capacities as seen differ by so much from look to look; a share at its bound is not past it for that
 EVERY_ORDER = 5  # units up to which all orders are tried
 EXCHANGES, LOOKS = 120, 30_000  # further orders tried beyond, each one exchange away from the best; by units squared
 
@@ -98,7 +99,7 @@
                 return found
         if any(not self.machines[name].parent for name in out):
             share = sum(self.machines[name].capacity for name in caches) / (self.total or 1.0)
-            if len(caches) > 1 and share > bounds.all + 1e-9:
+            if len(caches) > 1 and share > bounds.all * (1 + SEEN):
                 return f"{share:.2f} of all capacity out, bounds.all allows {bounds.all:.2f}"
         fills = sum(self.machines[name].fills for name in gone)
         if bounds.fills and fills > bounds.fills + 1e-9:
@@ -129,7 +130,7 @@
             return f"{zone}: {self.trouble[zone]}"
         total = sum(self.machines[name].capacity for name in names) or 1.0
         gone = sum(self.machines[name].capacity for name in out)
-        if gone > bounds.zone * total + 1e-9:
+        if gone > bounds.zone * (1 + SEEN) * total:
             return f"{zone}: {gone / total:.2f} of its capacity out, bounds.zone allows {bounds.zone:.2f}"
         load = sum(self.machines[name].load for name in names)
         if load > bounds.headroom * (total - gone) + 1e-9:
--- a/tests/test_fleet_plan.py
+++ b/tests/test_fleet_plan.py
@@ -34,6 +34,13 @@
     assert said in found if said else not found
 
 
+def test_capacities_that_are_seen_a_little_otherwise_do_not_take_back_what_is_at_its_bound():
+    """Found by the laboratory: three of thirty at a bound of 0.1 were announced and taken back again and again."""
+    machines = caches(30) | {"n7": Machine("north", False, 9.9, 1.0, 5.0)}
+    assert not forbidden(machines, ["n0", "n1", "n2"], zone=0.1, all=0.1)
+    assert forbidden(machines, ["n0", "n1", "n2", "n3"], zone=0.1) and forbidden(machines, ["n0", "n1", "n2", "n3"], all=0.1)
+
+
 def test_two_locations_lend_each_other_nothing_and_share_what_is_bound_in_all():
     machines = caches(4) | caches(4, "south")
     assert not forbidden(machines, ["n0", "s0"], zone=0.25, both=0.0)
