Fleet read again: one check of a line's fleet, nothing kept that nobody reads

The check that a line is of the same fleet stood in Node, follower_line and Follower; it is one function. Gone: a drain that was a constant copied into state, a bound, a time, Foreman.follows, Rig.asked_at and Orders.takeovers, none read by anything. Two docstrings fit their lines. No behaviour changed.

--- a/fieldspur/fleet/desk.py
+++ b/fieldspur/fleet/desk.py
@@ -110,8 +110,8 @@
 
 
 def change(path: Path, what, key: str = "work") -> Any:
-    """Applies `what(rows)` to the file's orders, or another list of its fleet, and writes the whole anew, so that a reader finds the old or the new one. Two at
-    once take turns. Raises BadFile, and then nothing is changed; what `what` gives back."""
+    """Applies `what(rows)` to the file's orders, or another list of its fleet, and writes the whole anew, so that a reader finds the
+    old or the new one. Two at once take turns. Raises BadFile, and then nothing is changed; what `what` gives back."""
     with open(path.with_name(path.name + ".lock"), "w") as lock:
         fcntl.flock(lock, fcntl.LOCK_EX)
         value, _ = read(path)
--- a/fieldspur/fleet/follower.py
+++ b/fieldspur/fleet/follower.py
@@ -5,11 +5,11 @@
 
 from __future__ import annotations
 
-from fieldspur.fleet import agree, words
+from fieldspur.fleet import agree
 from fieldspur.fleet.agree import Said
 from fieldspur.fleet.foreman import Foreman
 from fieldspur.fleet.members import Members
-from fieldspur.fleet.node import BEATS, Node, caught_up, may_be
+from fieldspur.fleet.node import BEATS, Node, caught_up, may_be, same_fleet
 
 
 class Follower:
@@ -30,8 +30,7 @@
 
     def heard(self, member: int, value: dict, now: int) -> None:
         """A line of one that settles; raises BadWord where it is none, or of another fleet."""
-        if value.get("fleet") != self.fleet:
-            raise words.BadWord(f"fleet: {str(value.get('fleet'))[:40]}")
+        same_fleet(self.fleet, value)
         register = self.register_of(member, value.get("register"))
         self.foreman.heard(value, self.foreman.names[member], register.nonce, self.nonce, (register.decided.value,))
         self.views[member] = register
--- a/fieldspur/fleet/foreman.py
+++ b/fieldspur/fleet/foreman.py
@@ -13,7 +13,6 @@
 WELL, EJECTED, COLD = 0, 1, 2  # how a router finds a server
 MOST_LOADS = 512  # servers that one member tells of
 MOST_ASKS = 32  # of one member at a time
-MOST_COUNT = 1 << 40
 BUSY_TROUBLE, FEW = 0.05, 20.0  # a location is in trouble that turns away such a share, of so many txns a second
 BEARS = 0.5  # a machine bears its part at such a share of its even load
 PATIENT = 2.0  # times the warm span, after which one that is asked for little counts as bearing its part
@@ -100,8 +99,8 @@
 
 
 class Foreman:
-    """`names` of those that settle things, in their order; `own` is among them, or follows what they settle. `length` ns is a lease's, `longest` ns the longest time limit of a
-    txn, `warm` ns from cold to full."""
+    """`names` of those that settle things, in their order; `own` is among them, or follows what they settle. `length` ns is a
+    lease's, `longest` ns the longest time limit of a txn, `warm` ns from cold to full."""
 
     def __init__(self, names: list[str], own: str, zone: str, length: int, bounds: plan.Bounds, strict: bool, longest: int,
                  warm: int):
@@ -122,11 +121,10 @@
         self.turned = (0.0, 0.0)
         self.fresh_loads, self.told_count = False, 0  # not published yet; the ask for a lease that was published last
         self.wall = 0  # Unix ms
-        self.asked_at = self.looked_at = self.noted_at = self.note_at = 0
+        self.asked_at = self.looked_at = self.noted_at = 0
         self.acting = False
         self.gone: frozenset = frozenset()  # members that are suspected
         self.back_at: dict[tuple, int] = {}  # (ident, number): when it was first seen back here
-        self.drain = DRAIN
         self.bore: dict[str, float] = {}  # machine: its share of its location's load before it went
         self.planned_for, self.planned_at, self.planned = None, 0, None
         self.lived: list[Report] | None = None
@@ -165,12 +163,9 @@
         """This router keeps off what that document says; so much is still open at those machines."""
         self.holds, self.open = max(self.holds, number), open_at
 
-    def follows(self) -> bool:
-        return self.own not in self.names
-
     def counted(self) -> bool:
         """Nothing goes that this router may still use: it settles, or is in the document."""
-        return not self.follows() or self.own in self.work.routers
+        return self.own in self.names or self.own in self.work.routers
 
     def asks(self) -> tuple:
         found = work.asks(self.wishes, self.work, self.own)
@@ -286,7 +281,7 @@
     # How who acts sees the whole.
 
     def sight(self, now: int) -> work.Sight:
-        return work.Sight(self.wall, self.board, self.park(now), self.drain, self.warm / 1e9, self.not_told,
+        return work.Sight(self.wall, self.board, self.park(now), DRAIN, self.warm / 1e9, self.not_told,
                           lambda number: self.may_use(number, now),
                           lambda machine, number: self.open_at(machine, number, now),
                           lambda free, running, park: self.plans(free, running, park, now),
--- a/fieldspur/fleet/node.py
+++ b/fieldspur/fleet/node.py
@@ -14,10 +14,15 @@
 BEATS = 6  # ticks of its holder within a lease
 
 
-def follower_line(fleet: str, name: str, value: dict, foreman, own_nonce: int) -> None:
-    """Takes a follower's line, or raises BadWord."""
+def same_fleet(fleet: str, value: dict) -> None:
+    """Raises BadWord where a line is of another."""
     if value.get("fleet") != fleet:
         raise words.BadWord(f"fleet: {str(value.get('fleet'))[:40]}")
+
+
+def follower_line(fleet: str, name: str, value: dict, foreman, own_nonce: int) -> None:
+    """Takes a follower's line, or raises BadWord."""
+    same_fleet(fleet, value)
     if value.get("follower") != name:
         raise words.BadWord(f"follower: {str(value.get('follower'))[:40]} at {name}'s address")
     foreman.heard(value, name, words.number(value.get("nonce"), "nonce", 1), own_nonce)
@@ -58,8 +63,7 @@
 
     def heard(self, member: int, value: dict, now: int) -> None:
         """A line of that member; raises BadWord where it is none, or of another fleet."""
-        if value.get("fleet") != self.fleet:
-            raise words.BadWord(f"fleet: {str(value.get('fleet'))[:40]}")
+        same_fleet(self.fleet, value)
         register = self.register_of(member, value.get("register"))
         backs, tick = (words.ticked(value.get(name), name) for name in ("backs", "tick"))
         if self.foreman is not None:
--- a/fieldspur/lab/judge/orders.py
+++ b/fieldspur/lab/judge/orders.py
@@ -85,6 +85,3 @@
         for state in self.states.values():
             found[state] = found.get(state, 0) + 1
         return found
-
-    def takeovers(self) -> int:
-        return max(0, len(self.acting) - 1)
--- a/fieldspur/lab/plays/rig.py
+++ b/fieldspur/lab/plays/rig.py
@@ -69,7 +69,6 @@
         self.orders.on_free = self.work_on
         self.world.others |= {"router_kill": self.kill, "router_pause": self.pause, "router_hup": self.hup, "link_cut": self.cut,
                               "link_stall": self.stall, "link_delay": self.delay, "link_lose": self.lose}
-        self.asked_at: dict[str, int] = {}
         self.hand: list = []
         self.hand_out: set[str] = set()
 
@@ -126,7 +125,6 @@
         node = self.nodes[ask.router % len(self.nodes)]
         row = {"id": ident, "machine": ask.machine, "needs_s": ask.needs_s}
         node.wishes = [*node.wishes, row | ({"with": list(ask.beside)} if ask.beside else {})]
-        self.asked_at.setdefault(ident, self.loop.now())
         self.told(node)
 
     def drop(self, n: int) -> None:
