No attempt begins for a client whose close, reset or cancel is there already

Likewise a hop that waited (dial, gate, leader, retry) went out by the word of the Router, which hears of a departure only after the client's reader had a turn.

Cause: Client.read took what one recv brought without looking whether the end lies behind it (takein.py, read); Send.begin looked at servers, purges and the board, never at the book or the client (send.py, begin).

Change: a reader looks for the peer's end before it works off what it read; Send.begin writes no hop whose txn has left the book, and for a txn taken over 20 ms ago looks at the client's socket: an end withdraws it there, other bytes are left to the client's own reader, 30 ms at most, before the attempt. A thread works on for others in 8 turns, not 64, for its own client waits unread meanwhile.

--- a/fieldspur/net/relay.py
+++ b/fieldspur/net/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import select
 import socket
 import threading
 import time
@@ -14,6 +15,8 @@
 
 log = logging.getLogger("fieldspur.relay")
 OVERDUE = 10 * MS  # past its time limit, an answer is logged
+LEFT, UNREAD = "left", "unread"  # what a look at a client's socket finds
+AWAY = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class Outlet:
@@ -29,6 +32,18 @@
         self.closing = False  # ends once nothing is owed
         self.cutting = self.ended = False
         self.idle_since = time.monotonic()
+        self.reader, self.turns = 0, 0  # the thread that reads it, and how many of its reads are worked off
+        self.looks = select.poll()
+        self.looks.register(sock, select.POLLIN | select.POLLRDHUP)
+
+    def look(self) -> str:
+        """What lies in the socket that its reader may not have come to: LEFT, a close or reset, also behind other bytes; UNREAD,
+        bytes; else nothing."""
+        with self.lock:  # whoever ends it gives its descriptor away
+            found = 0 if self.ended else self.looks.poll(0)
+        if not found:
+            return LEFT if found == 0 else ""
+        return LEFT if found[0][1] & AWAY else UNREAD
 
     def answer(self, stream: int, answer: Answer, cork: list | None = None) -> bool:
         """False where the client has withdrawn: taking the stream out is what gives the right to use it. With `cork` a
--- a/fieldspur/net/route.py
+++ b/fieldspur/net/route.py
@@ -25,7 +25,7 @@
 ALARM, PROBE, HELD = -1, 0, -2  # in place of a txn's number
 BY_ROUTER = -1  # in place of a hop's number: its own answers
 MOST_QUEUED = 512  # events; beyond, new txns are rejected at once
-AT_ONCE, MOST_FOR_OTHERS = 16, 64  # events under one lock; such turns that a thread takes on end
+AT_ONCE, MOST_FOR_OTHERS = 16, 8  # events under one lock; such turns that a thread takes on end
 LOOK_AGAIN = 250 * MS  # at an empty wheel
 LONGEST, WAIT_TURN = 3600.0, 0.0005  # seconds that the timers' thread sleeps at most; that it leaves to who is at it
 
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -8,14 +8,16 @@
 
 from fieldspur.decide import LANES
 from fieldspur.net import resp
-from fieldspur.net.book import Answer, Book
+from fieldspur.net.book import Answer, Book, Txn
 from fieldspur.net.holds import holds
 from fieldspur.net.lane import Hop, Lane
-from fieldspur.net.relay import Relay
+from fieldspur.net.relay import LEFT, UNREAD, Relay
 from fieldspur.site import MS, Deployment
 
 log = logging.getLogger("fieldspur.send")
 GONE, NONE = (("", 0), "gone"), (0, 0)
+LOOK_CLIENT = 20 * MS  # a txn taken that long ago has waited for something: its client may have left meanwhile
+WAIT_READER, PAUSE = 30 * MS, 0.0005  # so long is a client's reader left its turn (ns); seconds between looks
 LOOK_BOARD = 50 * MS  # so old may the last look be at whether the board's word lies unread, when a hop is written
 
 
@@ -129,6 +131,11 @@
         if now - self.looked > LOOK_BOARD and self.board is not None:
             self.board.caught_up()
             self.looked = now = time.time_ns()
+        if hop.want is not None:
+            txn = self.book.open.get(hop.ident)  # gone: withdrawn by its reader, and the Router has not heard of it yet
+            if txn is None or now - txn.taken > LOOK_CLIENT and not self.awaited(txn):
+                self.take_back(hop)
+                return False
         with self.lock:
             if hop.ended:
                 return False  # its name was taken out of the lane by who gave it up
@@ -138,6 +145,21 @@
         self.take_back(hop)
         return False
 
+    def awaited(self, txn: Txn) -> bool:
+        """Whether its client still waits, of a txn that has waited itself. Guards against an attempt begun for one that has gone:
+        its close, reset or withdrawal may lie unread in the socket. What lies there is for the client's own reader; it is left a
+        moment for that."""
+        outlet, began = txn.outlet, 0
+        turns = outlet.turns
+        while (found := outlet.look()) is UNREAD and outlet.reader != threading.get_ident() and outlet.turns - turns < 2:
+            began = began or time.time_ns()
+            if time.time_ns() - began > WAIT_READER:
+                break
+            time.sleep(PAUSE)
+        if found is LEFT and self.book.withdraw(txn.ident, left=True):
+            self.route.post(self.route.withdrawn, txn.ident)
+        return txn.ident in self.book.open
+
     def take_back(self, hop: Hop) -> None:
         with hop.lane.lock:
             hop.lane.open.pop(hop.name, None)
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -11,7 +11,7 @@
 from fieldspur.net import frames
 from fieldspur.net.admit import Admit
 from fieldspur.net.book import Answer, Book
-from fieldspur.net.relay import Outlet, Relay
+from fieldspur.net.relay import AWAY, Outlet, Relay
 from fieldspur.site import MS
 
 log = logging.getLogger("fieldspur.takein")
@@ -59,6 +59,7 @@
 
     def read(self) -> None:
         decoder, after = frames.Decoder(), 0
+        self.outlet.reader, looks = threading.get_ident(), self.outlet.looks.poll
         try:
             while size := self.sock.recv_into(decoder.window.view if self.failed else decoder.window.room()):
                 if self.failed:  # only to see its end, or what it was told might be lost in a reset
@@ -66,6 +67,8 @@
                     if after > MOST_AFTER and not self.outlet.streams:
                         break
                     continue
+                if (found := looks(0)) and found[0][1] & AWAY:
+                    break  # nobody waits for what it sent; guards against attempts begun for thousands that send and go
                 now = time.time_ns()
                 self.takein.route.gather()
                 try:
@@ -77,6 +80,7 @@
                 except frames.BadFrame as bad:
                     self.fail(str(bad))
                 finally:
+                    self.outlet.turns += 1
                     self.takein.route.handle()
         except OSError:
             pass  # reset: as if it had closed
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -10,6 +10,7 @@
 import sys
 import threading
 import time
+from types import SimpleNamespace
 
 from fieldspur.decide import MS, SECOND, Collapsing, Fleet, Purges, Router
 from fieldspur.host import HIT, JOINED, NEVER_RAN, PAST_FRESH, RemapRule
@@ -460,7 +461,7 @@
 class Events:
     """In place of route: keeps what is posted."""
 
-    hop_ended = "hop_ended"
+    hop_ended, withdrawn = "hop_ended", "withdrawn"
 
     def __init__(self):
         self.posted = []
@@ -474,8 +475,18 @@
     handle = gather
 
 
-def sender(address, state="up", lanes=4):
-    relay, book = Relay(1 << 20), Book()
+class Standing(dict):
+    """Open txns of a test that is not about clients: each hop's txn has just been taken, and stands."""
+
+    def get(self, ident, _=None):
+        return super().get(ident) or SimpleNamespace(taken=time.time_ns())
+
+
+def sender(address, state="up", lanes=4, book=None):
+    relay = Relay(1 << 20)
+    if book is None:
+        book = Book()
+        book.open = Standing()
     send = Send(deployment(settings()), book, relay, lanes)
     send.route = Events()
     host, port = address.split(":")
