A connection is shut before it is closed, and a program ends once nothing more can be taken

Seen by reading and forced by tests: (1) the look for unread bytes and the close of an idle connection were two steps (takein.py look, make_room; relay.py cut_if_idle): a request between them was answered by a reset, which takes an answer along that the client has not read. (2) make_room took a client out of the count before its descriptor was free, so hundreds of idle ones held more than the bound. (3) `end` left when no txn was open at one look; a request read after that look was lost; connections in the backlog were reset as the listener closed; a txn taken late could outlast the SIGKILL. (4) SIGTERM and SIGHUP during the start waited for the board.

Change: Outlet.shut closes the router's side under the lock that a txn needs to begin; what is read from then on is not taken, read on for half a second at most, then cut. Clients count until their descriptor is free; a sixteenth more is kept for those being shut. The end accepts the backlog, gives txns until 3 s after it, and leaves once each connection is shut and nothing is owed. The start's wait is a thread of its own.

--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -30,6 +30,7 @@
 LANE_MEMORY = 2 << 20  # bytes of the limit for each connection to a server
 PARTING = 0.2  # seconds in which clients may close by themselves
 STILL_COMING = 0.7  # seconds after SIGTERM for which clients still come, by the protocol
+KILLED_AFTER, BEFORE_IT = 3.0, 0.1  # so much later, or the longest time limit if that is less, SIGKILL may come; margin
 
 
 def fail(args) -> None:
@@ -88,6 +89,11 @@
             threading.stack_size(DEEP_STACK)
             self.talk.start()
             threading.stack_size(STACK)
+        threading.Thread(target=self.open, args=(wait,), name="open", daemon=True).start()
+
+    def open(self, wait: float) -> None:
+        """Once the board has told what it holds, or has said nothing for `wait` seconds, the gate opens. A thread of its own, for a
+        signal may come meanwhile: an end that began first leaves the router not ready, and files are read again at once."""
         began = time.monotonic()
         told = self.board.current.wait(wait)
         if not told:
@@ -97,7 +103,8 @@
         self.route.post(self.route.open, "current" if told else "no word of the board")
         if self.talk is not None:
             self.talk.overlay.opened()
-        self.takein.ready = True
+        if self.takein.open():
+            log.info("ready", extra={"kv": {"name": self.node.name, "listen": "%s:%d" % self.node.listen}})
 
     def pauses(self, phase: str, _about: dict) -> None:
         """What the collector of garbage holds up."""
@@ -146,14 +153,18 @@
             "board": "%s:%d" % node.board, "unchanged": ",".join(kept) or "-"}})
 
     def end(self) -> None:
-        """Serve what still comes, answer all that was taken, then stop."""
+        """Serve what still comes, answer all that was taken, then stop: once no connection is left open on which something could be
+        taken, and nothing is owed. No look at what is open decides that, for a request may be read after it."""
         began = time.monotonic()
         self.takein.ending()
+        time.sleep(STILL_COMING)
+        self.takein.close()
+        left = min(self.longest, KILLED_AFTER) - BEFORE_IT
+        self.takein.admit.ends_at = time.time_ns() + int(left * 1e9)
         while (took := time.monotonic() - began) < self.longest + STILL_COMING:
-            if took >= STILL_COMING and not self.book.open and self.relay.done():
+            if self.takein.shut(late=took > STILL_COMING + left) and not self.book.open and self.relay.done():
                 break
             time.sleep(0.01)
-        self.takein.close()
         began = time.monotonic()
         while self.takein.clients and time.monotonic() - began < PARTING:
             time.sleep(0.01)
@@ -187,7 +198,6 @@
     gc.set_threshold(wishes.interpreter.collect_after, *GARBAGE)
     gc.callbacks.append(service.pauses)
     service.start()
-    log.info("ready", extra={"kv": {"name": node.name, "listen": "%s:%d" % node.listen}})
     # Without a time limit: one that passes while the process is stopped makes up a signal that nobody sent.
     while signal.sigwait(SIGNALS) == signal.SIGHUP:
         service.reload()
--- a/fieldspur/net/admit.py
+++ b/fieldspur/net/admit.py
@@ -7,6 +7,7 @@
 from fieldspur.net.book import Answer, Book, Txn
 from fieldspur.net.frames import Request, Unusable
 from fieldspur.net.relay import Outlet
+from fieldspur.net.wheel import NEVER
 from fieldspur.site import MS, Deployment
 
 log = logging.getLogger("fieldspur.admit")
@@ -19,6 +20,7 @@
     def __init__(self, site: Deployment, book: Book, route, most_bytes: int):
         self.book, self.route, self.most_open, self.most_bytes = book, route, site.most_open, most_bytes
         self.come_back_ms = site.router["longest_come_back"] // MS
+        self.ends_at = NEVER  # every txn has its answer by then: an ending program is killed soon after
         self.limits = [rule.limit for rule in site.rules]
         self.rules = {name: (at, site.rules[at].kind == "keyed") for at, name in enumerate(site.rule_names)}
 
@@ -41,7 +43,7 @@
         limit = min(request.limit, self.limits[at])  # nobody may hold a place here for longer
         txn = Txn(ident, request.txn, at, request.rule, request.obj, request.part, request.group, request.kb,
                   request.key, request.tag, request.body, now,
-                  now + limit - SLACK // 2 - self.route.behind, outlet, request.stream)
+                  min(now + limit - SLACK // 2 - self.route.behind, self.ends_at), outlet, request.stream)
         if (len(self.book.open) >= self.most_open or self.route.full()
                 or self.book.bytes + len(txn.body) > self.most_bytes):
             self.book.count("full")
--- a/fieldspur/net/relay.py
+++ b/fieldspur/net/relay.py
@@ -30,7 +30,10 @@
         self.waiting: deque[bytes] = deque()
         self.writing = False  # a thread is at what waits
         self.closing = False  # ends once nothing is owed
-        self.cutting = self.ended = False
+        # Nothing goes out any more, and what is read from then on is not taken, for it can't be answered: since when, else 0.
+        self.shut_at = 0.0
+        self.ended = False
+        self.freed = None  # called, without the lock, once its descriptor is free
         self.idle_since = time.monotonic()
         self.reader, self.turns = 0, 0  # the thread that reads it, and how many of its reads are worked off
         self.looks = select.poll()
@@ -107,7 +110,7 @@
                         self.sock.close()
                     else:
                         self.close_if_done()
-                    return
+                    break
                 data = self.waiting.popleft()
             try:
                 self.sock.sendall(data)
@@ -116,14 +119,21 @@
                     self.cut()
             self.idle_since = time.monotonic()
             self.relay.hold(-len(data))
+        if self.ended and self.freed is not None:
+            self.freed()
 
     def close_if_done(self) -> None:
-        """Nothing more goes out, but what the client still sends is read, for a reset would take answers along."""
         if self.closing and not self.streams and not self.waiting and not self.corked:
-            try:
-                self.sock.shutdown(socket.SHUT_WR)
-            except OSError:
-                pass
+            self.shut(socket.SHUT_WR)
+
+    def shut(self, how: int) -> None:
+        """Nothing more goes out; the lock is held. With SHUT_WR what the client still sends is read for a while, for a close over
+        unread bytes resets the connection and takes answers along."""
+        self.shut_at = self.shut_at or time.monotonic()
+        try:
+            self.sock.shutdown(how)
+        except OSError:
+            pass
 
     def close_when_done(self) -> None:
         with self.lock:
@@ -132,33 +142,37 @@
                 self.close_if_done()
 
     def open(self, stream: int, ident: int) -> bool:
-        """A txn begins; false where the connection was just given up, so that the client sees it as never taken."""
+        """A txn begins; false where this side was shut before, so that the client sees it as never taken: it crossed the close."""
         with self.lock:
-            if not self.cutting:
+            if not self.shut_at:
                 self.streams[stream] = ident
-            return not self.cutting
+            return not self.shut_at
 
-    def cut_if_idle(self) -> bool:
+    def shut_if_idle(self) -> bool:
+        """Whether nothing goes out any more. The claim is the lock's: a request either has its stream before, or is not taken."""
         with self.lock:
-            self.cutting |= not self.streams and not self.corked
-            if self.cutting:
-                self.cut()
-            return self.cutting
+            if not (self.shut_at or self.streams or self.corked or self.writing):
+                self.shut(socket.SHUT_WR)
+            return bool(self.shut_at)
 
     def cut(self) -> None:
         """The reader wakes up and ends the connection."""
-        try:
-            self.sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass
+        self.shut(socket.SHUT_RDWR)
+
+    def cut_off(self) -> None:
+        with self.lock:
+            self.cut()
 
     def end(self) -> None:
         """Called by the reader, last."""
         with self.lock:
             self.ended = True
             self.cut()
-            if not self.writing:
+            mine = not self.writing  # else the writer's, which ends by this
+            if mine:
                 self.sock.close()
+        if mine and self.freed is not None:
+            self.freed()
 
 
 class Relay:
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -20,9 +20,10 @@
 # Seconds. Clients that use a router as the protocol says send a frame at once and close after 4 s without a request;
 # others are owed an end within 3 s, or 6 s with 60 MB to send.
 FRAME_WAIT, IDLE_WAIT, AFTER_WAIT, LOOK_EVERY = 2.0, 5.0, 0.5, 0.2
-IDLE, HALF = "idle", "half a frame"  # why a connection is closed that brings nothing, or no end of what it began
+IDLE, HALF, AFTER = "idle", "half a frame", "shut"  # why a connection is closed that brings nothing, or no end of what it began
 MOST_AFTER = 1 << 20  # bytes read on after what can't be read
 BACKLOG = 512
+ROOM_WAIT, ACCEPT_PAUSE = 0.1, 0.01  # seconds for which a new connection waits for a descriptor; after an accept that failed
 
 
 def encode(stream: int, answer: Answer) -> tuple:
@@ -51,6 +52,7 @@
     def __init__(self, takein: TakeIn, sock: socket.socket):
         self.takein, self.sock = takein, sock
         self.outlet = Outlet(sock, encode, takein.relay)
+        self.outlet.freed = self.free
         self.used = Used()
         self.since = time.monotonic()  # its accept, or when its unfinished frame began, or it could not be read
         self.held = 0  # bytes of an unfinished frame
@@ -61,8 +63,8 @@
         decoder, after = frames.Decoder(), 0
         self.outlet.reader, looks = threading.get_ident(), self.outlet.looks.poll
         try:
-            while size := self.sock.recv_into(decoder.window.view if self.failed else decoder.window.room()):
-                if self.failed:  # only to see its end, or what it was told might be lost in a reset
+            while size := self.sock.recv_into(decoder.window.view if self.failed or self.outlet.shut_at else decoder.window.room()):
+                if self.failed or self.outlet.shut_at:  # only to see its end, or what it was told might be lost in a reset
                     after += size
                     if after > MOST_AFTER and not self.outlet.streams:
                         break
@@ -87,6 +89,9 @@
         self.hold(0)
         self.takein.ended(self)
 
+    def free(self) -> None:
+        self.takein.freed(self)
+
     def hold(self, size: int) -> None:
         if size and not self.held:
             self.since = time.monotonic()
@@ -127,6 +132,8 @@
     def overdue(self, now: float) -> str:
         """Why it is to be closed now, if it is."""
         waited, idle = now - self.since, now - self.outlet.idle_since
+        if self.outlet.shut_at:
+            return AFTER if now - self.outlet.shut_at > AFTER_WAIT else ""
         if self.outlet.streams:
             return HALF if self.held and waited > FRAME_WAIT else ""
         if self.outlet.writing:
@@ -144,38 +151,44 @@
         self.admit, self.book, self.route, self.relay = admit, book, route, relay
         self.most_clients, self.gone_after_ms = most_clients, gone_after // MS
         self.most_bytes, self.bytes = most_bytes, 0  # of unfinished frames
-        self.ready = False
+        self.ready = self.over = False  # over: the program's end has begun
+        self.spare = max(2, most_clients // 16)
         self.clients: set[Client] = set()
         self.lock = threading.Lock()
+        self.room = threading.Condition(self.lock)  # told when a descriptor is free
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(listen)
         self.listener.listen(BACKLOG)
+        self.closing = self.closed = False  # connections are to come no more; the listener is closed
 
     def run(self) -> None:
-        while True:
+        while not self.closed:
             try:
                 sock, _ = self.listener.accept()
             except OSError as wrong:
-                if self.listener.fileno() < 0:
-                    return
-                log.error("accept", extra={"kv": {"why": str(wrong)}})
-                time.sleep(0.01)
-                continue
-            if len(self.clients) >= self.most_clients and not self.make_room():
-                log.warning("clients_full", extra={"kv": {"clients": len(self.clients)}})
-                sock.close()
+                if not self.closing:
+                    log.error("accept", extra={"kv": {"why": str(wrong)}})
+                time.sleep(ACCEPT_PAUSE)
                 continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self.gone_after_ms)
-            client = Client(self, sock)
-            with self.lock:
-                self.clients.add(client)
-            try:
-                threading.Thread(target=client.read, name="client", daemon=True).start()
-            except RuntimeError as wrong:  # the system gives no further thread
-                log.error("accept", extra={"kv": {"why": str(wrong)}})
-                self.ended(client)
+            self.enter(sock)
+
+    def enter(self, sock: socket.socket) -> None:
+        """A connection that was accepted gets its reader, or is closed where there is no room."""
+        if len(self.clients) >= self.most_clients and not self.make_room():
+            log.warning("clients_full", extra={"kv": {"clients": len(self.clients)}})
+            sock.close()
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self.gone_after_ms)
+        client = Client(self, sock)
+        with self.lock:
+            self.clients.add(client)
+        try:
+            threading.Thread(target=client.read, name="client", daemon=True).start()
+        except RuntimeError as wrong:  # the system gives no further thread
+            log.error("accept", extra={"kv": {"why": str(wrong)}})
+            self.ended(client)
 
     def watch(self) -> None:
         """Closes connections that have been given their time."""
@@ -189,22 +202,31 @@
         for client in clients:
             if (why := client.overdue(now)) and not (why in (IDLE, HALF) and client.unread()):
                 log.info("closed", extra={"kv": {"why": why}})
-                if client.outlet.streams:
+                if client.outlet.shut_at:
+                    client.outlet.cut_off()
+                elif client.outlet.streams:
                     client.fail(why)
+                elif client.outlet.writing:
+                    client.outlet.cut_off()
                 else:
-                    client.outlet.cut_if_idle()
+                    client.outlet.shut_if_idle()
 
     def make_room(self) -> bool:
-        """Close one connection without a txn: of those that never sent a request of use, if there are any, and of
-        these the one idle for longest; false where each has a txn."""
+        """Whether there is a descriptor for one more. Each counts until it is free: beyond `most_clients` there are `spare` for
+        those whose side was shut and who have not closed theirs yet. One without a txn is shut: of those that never sent a request
+        of use, if there are any, and of these the one idle for longest. Where even the spare ones are taken, the one that was shut
+        first is cut off and its descriptor waited for, a moment at most."""
         with self.lock:
-            idle = sorted((c for c in self.clients if not c.outlet.streams),
-                          key=lambda c: (c.proved, c.outlet.idle_since))
-            for client in idle:
-                if not client.unread() and client.outlet.cut_if_idle():
-                    self.clients.discard(client)
-                    return True
-        return False
+            for client in sorted((c for c in self.clients if not c.outlet.streams and not c.outlet.shut_at),
+                                 key=lambda c: (c.proved, c.outlet.idle_since)):
+                if not client.unread() and client.outlet.shut_if_idle():
+                    break
+            shut = sorted((c for c in self.clients if c.outlet.shut_at), key=lambda c: c.outlet.shut_at)
+            if not shut or len(self.clients) < self.most_clients + self.spare:
+                return bool(shut)
+            for client in shut[:1 + len(shut) // 2]:
+                client.outlet.cut_off()
+            return self.room.wait_for(lambda: len(self.clients) < self.most_clients + self.spare, ROOM_WAIT)
 
     def hold(self, client: Client, size: int) -> None:
         """What a client has of an unfinished frame; beyond the bound of all, whoever has most is closed."""
@@ -214,31 +236,58 @@
             most = max(self.clients, key=lambda c: c.held, default=None) if self.bytes > self.most_bytes else None
         if most is not None:
             log.warning("frames_full", extra={"kv": {"bytes": self.bytes}})
-            most.outlet.cut()
+            most.outlet.cut_off()
 
     def withdraw(self, ident: int, left: bool = False) -> None:
         if self.book.withdraw(ident, left):
             self.route.post(self.route.withdrawn, ident)
 
-    def ended(self, client: Client) -> None:
+    def freed(self, client: Client) -> None:
         with self.lock:
             self.clients.discard(client)
+            self.room.notify()
+
+    def ended(self, client: Client) -> None:
         client.outlet.end()
         for ident in list(client.outlet.streams.values()):
             self.withdraw(ident, left=True)
 
     def ending(self) -> None:
         """Not ready any more; open connections are told to bring nothing new. What comes is still served."""
-        self.ready = False
         with self.lock:
+            self.ready, self.over = False, True
             clients = list(self.clients)
         for client in clients:
             client.outlet.write(frames.no_more())
 
+    def open(self) -> bool:
+        """The router is ready from now on; false where its end has begun."""
+        with self.lock:
+            self.ready = not self.over
+            return self.ready
+
     def close(self) -> None:
-        """Nothing is owed any more: clients close first, for an end under what they sent would reset answers away."""
+        """No connection is taken any more, but those are that the system has accepted already."""
+        self.closing = True
+        self.listener.setblocking(False)
+        try:
+            while True:
+                self.enter(self.listener.accept()[0])
+        except OSError:
+            pass  # none waits
+        self.closed = True
+        try:
+            self.listener.shutdown(socket.SHUT_RDWR)  # a thread may wait in `accept`, and a close does not wake it
+        except OSError:
+            pass
         self.listener.close()
+
+    def shut(self, late: bool) -> bool:
+        """Shut each connection that owes nothing; whether all are, so that nothing can be taken any more. A client that has a request
+        on its way, unread or half, is left for later, unless it is `late`."""
         with self.lock:
             clients = list(self.clients)
         for client in clients:
-            client.outlet.close_when_done()
+            if late or not (client.held or client.unread()):
+                client.outlet.close_when_done()
+        return all(client.outlet.shut_at for client in clients)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,11 +6,12 @@
 import socket
 import threading
 import time
+from types import SimpleNamespace
 
 import pytest
 
 from fieldspur.net import resp
-from fieldspur.net.book import Book, Txn
+from fieldspur.net.book import Answer, Book, Txn
 from fieldspur.net.lane import Hop
 from fieldspur.net.relay import Outlet, Relay
 from fieldspur.net.takein import TakeIn, encode
@@ -150,3 +151,149 @@
     served.answer("%016x" % 7, *ACK)
     assert probe.get()[1:3] == (7, 79)
     assert sum(want["id"] == "%016x" % 1 for cache in caches for want in cache.wants) == 1
+
+
+# Closing clients.
+
+
+def entered(most=8):
+    """A place where clients are taken in, without the thread that accepts them: a test says when one is."""
+    book, relay = Book(), Relay(1 << 20)
+    route = SimpleNamespace(gather=lambda: None, handle=lambda: None, post=lambda *about: None, withdrawn=None)
+    admit = SimpleNamespace(taken=[], come_back_ms=0)
+    admit.request = lambda request, outlet, now: outlet.open(request.stream, 7) and not admit.taken.append(request.stream)
+    return TakeIn(("127.0.0.1", 0), most, 1 << 20, 1_000_000_000, admit, book, route, relay)
+
+
+def joins(takein, accept=True):
+    client = Client("%s:%d" % takein.listener.getsockname())
+    if accept:
+        takein.enter(takein.listener.accept()[0])
+    return client
+
+
+def test_a_request_that_lands_between_the_look_and_the_close_is_not_taken_and_resets_nothing():
+    """The client has its answer unread, the connection is shut as idle, and a request of the client's crosses that."""
+    takein = entered()
+    there = joins(takein)
+    client = next(iter(takein.clients))
+    client.outlet.open(1, 5)
+    assert client.outlet.answer(1, Answer("completed", body=b"late reader"))
+    assert not client.unread() and client.outlet.shut_if_idle()
+    there.ask(2)
+    until(lambda: select.select([there.sock], [], [], 0)[0])
+    time.sleep(0.02)  # so the request has come, and what its coming leads to
+    assert there.get()[1:3] == (1, 79) and there.get() is None  # an end, no reset
+    there.sock.shutdown(socket.SHUT_WR)
+    until(lambda: not takein.clients)
+    assert not takein.admit.taken
+    takein.listener.close()
+
+
+def test_a_client_that_does_not_close_after_its_side_was_shut_is_cut_off_in_bounded_time():
+    takein = entered()
+    there = joins(takein)
+    client = next(iter(takein.clients))
+    assert client.outlet.shut_if_idle() and takein.clients
+    takein.look(client.outlet.shut_at + 0.4)
+    assert takein.clients
+    takein.look(client.outlet.shut_at + 0.6)
+    until(lambda: not takein.clients)
+    assert there.get() is None
+    takein.listener.close()
+
+
+def test_a_client_counts_until_its_descriptor_is_free_and_idle_ones_give_way():
+    takein = entered(most=8)
+    idle, most, seen = [], 0, set()  # seen: sockets; those that do not count any more are closed
+    for _ in range(60):
+        idle.append(joins(takein))
+        most = max(most, len(takein.clients))
+        assert most <= 8 + takein.spare and all(sock.fileno() < 0 for sock in seen - {c.sock for c in takein.clients})
+        seen |= {client.sock for client in takein.clients}
+    assert most > 8 and sum(client.sock.fileno() >= 0 for client in idle) == 60
+    takein.listener.close()
+
+
+def test_where_all_have_txns_a_further_client_is_turned_away_at_once():
+    takein = entered(most=2)
+    both = [joins(takein), joins(takein)]
+    for client in both:
+        client.ask(1)
+    until(lambda: all(client.outlet.streams for client in takein.clients))
+    began = time.monotonic()
+    assert joins(takein).get() is None and time.monotonic() - began < 0.5 and len(takein.clients) == len(both)
+    takein.listener.close()
+
+
+# Shutdown.
+
+
+def test_a_connection_in_the_backlog_as_the_listener_closes_is_taken():
+    takein = entered()
+    there = joins(takein, accept=False)
+    there.ask(1)
+    takein.close()
+    until(lambda: takein.admit.taken == [1])
+    assert not takein.shut(late=False)  # it owes an answer
+    next(iter(takein.clients)).outlet.answer(1, Answer("completed", body=b"x"))
+    assert there.get()[1:3] == (1, 79) and there.get() is None and takein.shut(late=False)
+
+
+def test_what_lies_unread_or_half_is_left_its_time_before_a_connection_is_shut():
+    takein = entered()
+    there = joins(takein)
+    client = next(iter(takein.clients))
+    there.sock.sendall(b"\0\0\0\5")
+    until(lambda: client.held)
+    assert not takein.shut(late=False) and not client.outlet.shut_at
+    assert takein.shut(late=True) and client.outlet.shut_at and there.get() is None
+    takein.listener.close()
+
+
+def test_a_request_read_after_the_router_has_shut_its_side_is_not_sent_on(run):
+    """A client that rests until the router ends it, and sends in that very moment; another's answer keeps the router."""
+    cache = Cache(lambda want: None)
+    service = run(cache)
+    busy, resting = service.client(), service.client()
+    busy.ask(1)
+    until(lambda: cache.wants)
+    service.process.terminate()
+    assert resting.get()[0] == 90 and resting.get() is None  # it is shut, and half open
+    resting.ask(2)
+    time.sleep(0.3)
+    cache.answer("%016x" % 1, *ACK)
+    assert busy.get()[0] == 90 and busy.get()[1:3] == (1, 79)
+    assert service.process.wait(20) == 0 and {want["id"] for want in cache.wants} == {"%016x" % 1}
+
+
+def test_a_request_that_comes_late_on_a_busy_connection_is_answered_before_the_program_is_killed(run):
+    """SIGKILL comes 3.7 s after SIGTERM at the soonest, whatever the longest time limit; here that is 5 s."""
+    cache = Cache(lambda want: None)
+    service = run(cache)
+    client = service.client()
+    client.ask(1, limit="5000")
+    until(lambda: cache.wants)
+    began = time.monotonic()
+    service.process.terminate()
+    assert client.get()[0] == 90
+    while time.monotonic() - began < 1:
+        time.sleep(0.01)
+    client.ask(2, limit="5000")
+    until(lambda: len(cache.wants) == 2)
+    stream = client.get()[1]
+    assert stream == 2 and time.monotonic() - began < 3.7
+    cache.answer("%016x" % 1, *ACK)
+    assert client.get()[1:3] == (1, 79) and service.process.wait(20) == 0
+
+
+def test_a_signal_to_end_during_the_start_ends_the_program_before_it_was_ready(run):
+    service = run(Cache(), notices=Notices(wait=60), operators={"start": {"board_wait_s": 5}})
+    client = service.early()
+    client.ask(1, limit="500")
+    began = time.monotonic()
+    service.process.terminate()
+    assert client.get()[0] == 90 and client.get()[1:3] == (1, 66)
+    for sig in (signal.SIGHUP, signal.SIGTERM):
+        service.process.send_signal(sig)
+    assert service.process.wait(20) == 0 and time.monotonic() - began < 3 and "event=ready" not in service.lines()
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -245,7 +245,7 @@
     seen, put = [], Outlet.uncork
 
     def look(self):
-        seen.append((len(self.corked), self.cut_if_idle(), send.relay.done()))
+        seen.append((len(self.corked), self.shut_if_idle(), send.relay.done()))
         put(self)
 
     Outlet.uncork, decoder = look, resp.Decoder()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -404,9 +404,9 @@
     client.proved = True
     assert not client.overdue(begun + 4.5) and client.overdue(begun + 5.1) == "idle"
     client.outlet.open(1, 7)
-    assert not client.overdue(begun + 60) and not client.outlet.cut_if_idle()
+    assert not client.overdue(begun + 60) and not client.outlet.shut_if_idle()
     client.outlet.streams.clear()
-    assert client.outlet.cut_if_idle() and not client.outlet.open(2, 8) and not client.outlet.streams
+    assert client.outlet.shut_if_idle() and not client.outlet.open(2, 8) and not client.outlet.streams
 
 
 def test_bytes_of_unfinished_frames_are_bounded_in_sum(run):
@@ -664,10 +664,10 @@
     client.proved, later = True, time.monotonic() + 60
     there.sendall(b"\0")
     takein.look(later)
-    assert not client.outlet.cutting and not takein.make_room()
+    assert not client.outlet.shut_at and not takein.make_room()
     here.recv(1)  # its reader has had its turn
     takein.look(later)
-    assert client.outlet.cutting
+    assert client.outlet.shut_at
     there.close()
     here.close()
     takein.listener.close()
