A client's reader looks at its socket through a poll object of its own

Seen by reading: Client.read and Outlet.look (called by whoever writes a hop) shared one poll object (takein.py read, relay.py looks). The system's object refuses a look during another thread's with RuntimeError, which a reader does not catch, so the hook for failed threads would end the whole router, in the rare moment in which a client sends while its waiting txn's hop goes out. Each has its own now; `look` is under the outlet's lock as before.

Test: a poll that is held in the middle of `look` while the reader looks; on the commit before the reader dies there and nothing is taken (red). Checked: test_crossings' new case red before, green after.

--- a/fieldspur/net/relay.py
+++ b/fieldspur/net/relay.py
@@ -19,6 +19,14 @@
 AWAY = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
+def looks_at(sock: socket.socket) -> select.poll:
+    """To look whether bytes or the peer's end lie in a socket. For one thread at a time: the system's object refuses a look during
+    another's, with an error that would end the program."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN | select.POLLRDHUP)
+    return poll
+
+
 class Outlet:
     """The writing side of one client's connection; `encode` turns an answer into its protocol's bytes."""
 
@@ -36,8 +44,7 @@
         self.freed = None  # called, without the lock, once its descriptor is free
         self.idle_since = time.monotonic()
         self.reader, self.turns = 0, 0  # the thread that reads it, and how many of its reads are worked off
-        self.looks = select.poll()
-        self.looks.register(sock, select.POLLIN | select.POLLRDHUP)
+        self.looks = looks_at(sock)  # for `look` alone, under the lock
 
     def look(self) -> str:
         """What lies in the socket that its reader may not have come to: LEFT, a close or reset, also behind other bytes; UNREAD,
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -11,7 +11,7 @@
 from fieldspur.net import frames
 from fieldspur.net.admit import Admit
 from fieldspur.net.book import Answer, Book
-from fieldspur.net.relay import AWAY, Outlet, Relay
+from fieldspur.net.relay import AWAY, Outlet, Relay, looks_at
 from fieldspur.site import MS
 
 log = logging.getLogger("fieldspur.takein")
@@ -61,7 +61,7 @@
 
     def read(self) -> None:
         decoder, after = frames.Decoder(), 0
-        self.outlet.reader, looks = threading.get_ident(), self.outlet.looks.poll
+        self.outlet.reader, looks = threading.get_ident(), looks_at(self.sock).poll
         try:
             while size := self.sock.recv_into(decoder.window.view if self.failed or self.outlet.shut_at else decoder.window.room()):
                 if self.failed or self.outlet.shut_at:  # only to see its end, or what it was told might be lost in a reset
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -111,6 +111,42 @@
     here.close(), there.close()
 
 
+def test_a_look_at_a_client_in_the_moment_in_which_its_reader_looks_ends_nothing(monkeypatch):
+    """The system's poll object refuses a look during another's; a reader that met that error ended the program."""
+    looking, go_on, real = threading.Event(), threading.Event(), select.poll
+
+    class Poll:
+        def __init__(self):
+            self.real, self.busy = real(), False
+
+        def register(self, *about):
+            self.real.register(*about)
+
+        def poll(self, wait):
+            if self.busy:
+                raise RuntimeError("concurrent poll() invocation")
+            self.busy = True
+            if threading.current_thread().name == "looker":
+                looking.set()
+                go_on.wait(10)
+            found = self.real.poll(wait)
+            self.busy = False
+            return found
+
+    monkeypatch.setattr(select, "poll", Poll)
+    takein = entered()
+    there = joins(takein)
+    client = next(iter(takein.clients))
+    looker = threading.Thread(target=client.outlet.look, name="looker")
+    looker.start()
+    assert looking.wait(10)
+    there.send(67, 9)  # of a stream that it does not have: nothing in it waits for the look's lock
+    until(lambda: client.outlet.turns)
+    go_on.set()
+    looker.join()
+    takein.listener.close()
+
+
 @pytest.mark.parametrize("together", [1, 32])
 def test_requests_of_a_client_that_has_closed_already_are_not_sent_on(run, together):
     """Sent and gone while the router was stopped: on its return, the close lies behind the requests."""
