A hop goes out while what it was decided on still holds: repeats, and a cold server's span

Seen by reading, forced by tests. (1) `may_send` looked at a keyed txn's span when the repeat was decided; its hop then waited for a dial (up to the connect timeout) or its turn, and went out after the first try may have been forgotten (decide.py may_send, send.py stale); one cut in the middle could become whole at the server much later (lane.py drain). (2) A hop charged to one span of a cold server could go out in the next, so three spans' shares met in one. (4) What was charged for a fill that hit was given back in a later span. (5) Probes reached cold caches and were in no budget. (6) A hop was written to a connection that the server had closed while idle, when its end lay unread: broken, may have run, so an unrepeatable txn was aborted that never ran (send.py begin).

Change: the module hands each hop the time by which it has to go out (a repeat: its span less 50 ms, the protocol's slack, for its way; a cold server or source: the end of the span charged); Send takes it back after that, a repeat cut in the middle is broken off. A span that began before the process did is not spent. Given back only within the span; no probe of a cold cache. A connection on which nothing came for 20 ms is looked at for its end before a hop is written.

Tests, each red on the commit before: repeats after a held dial, a half-read repeat, a closed and a reset idle connection (with the field added there by hand), restarts within a span at 20, 30, 200 routers (three restarts; with one the old code stays in its chance), give-back, probes. It might hurt where a whole location is cold and its routers restart too: nothing goes there for what is left of a span (1 s at most).

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -42,6 +42,7 @@
 CROWD_STEP, PACE_STEP = 0.15, 0.4  # weight of one cache's crowd in the usual one, of one hit's in a cache's
 FILL_PACE, PROBE_GAP, SEEN_LAG = 2.5, 400 * MS, 1.15  # a fill's pace over a client's; probes; seen late
 FIRST_WORK, FIRST_BYTE, LEARN = 400 * MS, 80 * MS, 0.05  # before any is learned; weight of one sample
+REPEAT_WAY, NEVER = 50 * MS, 1 << 62  # what a repeat may take from its write to its server: the protocol's slack
 
 
 @record(eq=False)
@@ -161,7 +162,7 @@
         self.zone, self.parent_kind, self.origin_kind = zone, parent_kind, origin_kind
         self.size_trust = 1.0 if sized == "nominal" else 0.0
         self.cold = {False: (cache_share, *cache_cold), True: (parent_share, *parent_cold)}
-        self.fall_span, self.siblings = fall_span, siblings
+        self.fall_span, self.siblings, self.began = fall_span, siblings, 0  # began: this process, by the Router
         self.share, self.random, self.log = cache_share, random.Random(0), print  # the Router's own
         self.link_fits = link * cache_share  # fills that this router's share of the way in takes at full pace
         self.link_told, self.link_told_at, self.crowd, self.crowd_at = 0.0, 0, 0.0, 0  # of all routers, here
@@ -235,9 +236,14 @@
     def is_cold(self, s: Server, now: int) -> bool:
         return bool(s.started) and now - s.started < self.cold[s.kind == self.parent_kind][2]
 
+    def span_ends(self, s: Server, now: int) -> int:
+        """A hop to a cold server goes out in the span that it was charged to."""
+        return s.started + (max(0, now - s.started) // self.fall_span + 1) * self.fall_span
+
     def has_room(self, s: Server, now: int, charge: float) -> bool:
         """Guards a freshly started server: this router's part of what all may send it in each span. A part
-        smaller than one txn is rounded by chance, so that many routers together come out at the budget."""
+        smaller than one txn is rounded by chance, so that many routers together come out at the budget. A
+        span that began before this process did is not spent again: the one before it may have done so."""
         if not self.is_cold(s, now) or s.kind == self.origin_kind:
             return True
         share, start, ramp, multiple = self.cold[s.kind == self.parent_kind]
@@ -250,6 +256,8 @@
             able = mine * (start + (1 - start) * span * self.fall_span / ramp) * min(multiple * COLD_USE, 1.0)
             whole, part = divmod(able * self.fall_span / charge, 1.0)
             s.tokens, s.tokens_for = charge * (whole + (self.random.random() < part)), span
+            if s.started + span * self.fall_span < self.began:
+                s.tokens = 0.0
         return s.tokens >= charge
 
     # Health.
@@ -394,7 +402,7 @@
         self.host, self.rules, self.fleet, self.purges = host, rules, fleet, purges
         self.noteless, self.watch, self.differs = noteless, watch, {"noteless": 0}  # watched: counted only
         self.random, fleet.log = random.Random(seed), host.log
-        fleet.random = self.random
+        fleet.random, fleet.began = self.random, host.now()
         self.collapsing, self.kb_per_s, self.hop_limit, self.joins = collapsing, kb_per_s, hop_limit, joins
         self.probes, self.cancels, self.longest_come_back = probes, cancels, longest_come_back
         self.works = [float(FIRST_WORK)] * len(rules)  # mean sending times, learned
@@ -419,8 +427,9 @@
         self.mean_work += (work - self.mean_work) * LEARN
         self.mean_importance += (rule.importance - self.mean_importance) * LEARN
         if self.probes and self.fleet.caches and now - self.probed_at >= PROBE_GAP:
-            self.probed_at = now
-            self.host.probe(self.random.choice(self.fleet.caches).name)
+            self.probed_at, probed = now, self.random.choice(self.fleet.caches)
+            if not self.fleet.is_cold(probed, now):  # a probe is work too, and in no budget
+                self.host.probe(probed.name)
         flight = self.collapsing.flights.get((obj, part))
         if flight is None:
             self.collapsing.flights[obj, part], txn.leads = Flight(txn, now), True
@@ -482,8 +491,12 @@
                     and self.random.random() > max(ORIGIN_TRY, 1 - origin.fails)):
                 source, fetch, txn.past_fresh = server if source is origin else source, False, True
             charged = mean if source is not None and source.started and fleet.is_cold(source, now) else 0.0
+        go_by = fleet.span_ends(source, now) if charged else NEVER
         if server.started and fleet.is_cold(server, now):
             server.tokens -= mean
+            go_by = min(go_by, fleet.span_ends(server, now))
+        if txn.hops and rule.kind == "keyed":
+            go_by = min([go_by] + [h.sent + rule.remembered - REPEAT_WAY for h in txn.hops if h.ran])
         hop = Hop(txn.ident, len(txn.hops), server, source, now, txn.work, len(server.out), filling, charged,
                   fetch, counted=filling)
         fleet.fills_change(server, filling)
@@ -498,7 +511,7 @@
         age = self.purges.oldest_copy(now, txn.obj, txn.group, span) or (span if span > rule.fresh else 0)
         join = self.joins and not rule.never_kept and not (hop.number and any(h.alone for h in txn.hops))
         self.host.hop(txn.ident, server.name, txn.limit_at, source.name if source else None, rank, age, join,
-                      rule.fresh > 0, fetch)
+                      rule.fresh > 0, fetch, go_by)
         hop.due = self.at(now + self.patience(hop, now, len(server.out)), self.hop_due, hop)
 
     def may_send(self, txn: Txn, server: Server, now: int) -> bool:
@@ -506,7 +519,7 @@
         ran = [h for h in txn.hops if h.ran]
         if not ran or txn.rule.kind == "repeatable":
             return True
-        if txn.rule.kind == "unrepeatable" or now - ran[0].sent >= txn.rule.remembered:
+        if txn.rule.kind == "unrepeatable" or now - ran[0].sent >= txn.rule.remembered - REPEAT_WAY:
             return False
         return all(txn.rule.group == "all" or (txn.rule.group == "zone" and server.zone == h.server.zone)
                    or (txn.rule.group == "cell" and server.cell == h.server.cell) for h in ran)
@@ -589,7 +602,8 @@
             for peer in self.fleet.peers(source) if len(self.fleet.parents) > 1 else ():
                 peer.missed += bool(peer.feeds)
         elif source is not None and note in (HIT, JOINED, PAST_FRESH):
-            source.tokens += hop.charged  # the source was not asked
+            if (hop.sent - source.started) // self.fleet.fall_span == source.tokens_for:  # else that span is over
+                source.tokens += hop.charged  # the source was not asked
         hung = result == "timed_out" and hop.filling > 0 and self.fleet.usual_crowd(now) < SPILL
         if self.fleet.origin is not None and (hung or note in (FILLED_BY_ORIGIN, ORIGIN_FAILED)):
             bad = note != FILLED_BY_ORIGIN or self.fleet.origin_late(waited or 0)
--- a/fieldspur/host.py
+++ b/fieldspur/host.py
@@ -41,10 +41,11 @@
     def now(self) -> int: ...
 
     def hop(self, txn, server, cut_at: int, source, rank: int, max_age: int, join: bool, renew: bool,
-            fetch: bool) -> None:
+            fetch: bool, go_by: int) -> None:
         """Send the txn to a server; on a miss it fills from `source`, the server itself meaning no fill.
 
-        `max_age` 0 means the rule's own; without `fetch` the source gives only what it holds."""
+        `max_age` 0 means the rule's own; without `fetch` the source gives only what it holds. A hop that has not gone
+        out by `go_by` ends as "unsent": what was right then, a repeat or a cold server's budget, no longer is."""
 
     def cancel(self, txn, number: int) -> None:
         """Stop waiting for the txn's hop of that number; its end is still reported."""
--- a/fieldspur/net/lane.py
+++ b/fieldspur/net/lane.py
@@ -11,7 +11,8 @@
 from collections import deque
 
 from fieldspur.net import resp
-from fieldspur.net.now import write_now
+from fieldspur.net.now import AWAY, looks_at, write_now
+from fieldspur.net.wheel import NEVER
 from fieldspur.record import record
 from fieldspur.site import MS, US
 
@@ -38,6 +39,7 @@
     cut_at: int = 0
     group: int = -1  # of the object, for purges
     purges: int = 0  # how many purges were known when it was decided
+    go_by: int = NEVER  # when it has to have gone out
     lane: Lane | None = None
     written: int = 0  # when it went out, 0 before
     ended: bool = False
@@ -224,8 +226,7 @@
             while True:
                 if left:
                     keep_little(self.sock, ANY)
-                    for piece in left:
-                        self.sock.sendall(piece)
+                    self.finish(left, NEVER if cut is None else cut.go_by)
                     keep_little(self.sock)
                 cut = None
                 if not self.room():
@@ -241,6 +242,25 @@
             self.shut()
         self.pump()  # what came between the look and the end of `draining`
 
+    def finish(self, left: list, go_by: int) -> None:
+        """The rest of what has begun. Guards against a repeat of which a server takes the end only once it may have forgotten the
+        first try: it is broken off, and is never whole there."""
+        while left:
+            if go_by == NEVER:
+                self.sock.sendall(left.pop(0))
+                continue
+            wait = (go_by - time.time_ns()) // MS
+            if wait <= 0 or not self.poll().poll(wait):
+                raise OSError("not out in time")
+            left = write_now(self.sock, left)
+
+    def over(self) -> bool:
+        """Guards against a hop written to a server that has closed or reset this connection, idle or not, before its reader has had
+        a turn: of such a hop nobody could tell that it never ran."""
+        found = looks_at(self.sock).poll(0)
+        self.retired |= bool(found and found[0][1] & AWAY)
+        return self.retired
+
     def run(self) -> None:
         site = self.send.site
         try:
--- a/fieldspur/net/now.py
+++ b/fieldspur/net/now.py
@@ -1,13 +1,25 @@
-"""A write that cannot wait. It keeps the interpreter, for giving it up costs more than the write: two futex calls and, with
+"""Looks and writes that cannot wait. A write keeps the interpreter, for giving it up costs more than the write: two futex calls and, with
 others waiting, a turn of theirs before this thread goes on."""
 
 from __future__ import annotations
 
 import errno
 import os
+import select
 import socket
 
 FLAGS = socket.MSG_DONTWAIT | socket.MSG_NOSIGNAL
+AWAY = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the peer has closed or reset its side
+
+
+def looks_at(sock: socket.socket) -> select.poll:
+    """To look whether bytes or the peer's end lie in a socket. For one thread at a time: the system's object refuses a look during
+    another's, with an error that would end the program."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN | select.POLLRDHUP)
+    return poll
+
+
 try:
     import ctypes
 
--- a/fieldspur/net/relay.py
+++ b/fieldspur/net/relay.py
@@ -3,29 +3,18 @@
 from __future__ import annotations
 
 import logging
-import select
 import socket
 import threading
 import time
 from collections import deque
 
 from fieldspur.net.book import Answer, Txn
-from fieldspur.net.now import write_now
+from fieldspur.net.now import AWAY, looks_at, write_now
 from fieldspur.site import MS
 
 log = logging.getLogger("fieldspur.relay")
 OVERDUE = 10 * MS  # past its time limit, an answer is logged
 LEFT, UNREAD = "left", "unread"  # what a look at a client's socket finds
-AWAY = select.POLLRDHUP | select.POLLHUP | select.POLLERR
-
-
-def looks_at(sock: socket.socket) -> select.poll:
-    """To look whether bytes or the peer's end lie in a socket. For one thread at a time: the system's object refuses a look during
-    another's, with an error that would end the program."""
-    poll = select.poll()
-    poll.register(sock, select.POLLIN | select.POLLRDHUP)
-    return poll
-
 
 class Outlet:
     """The writing side of one client's connection; `encode` turns an answer into its protocol's bytes."""
--- a/fieldspur/net/route.py
+++ b/fieldspur/net/route.py
@@ -299,7 +299,7 @@
     def now(self) -> int:
         return self.clock
 
-    def hop(self, ident, server, cut_at, source, rank, max_age, join, renew, fetch) -> None:
+    def hop(self, ident, server, cut_at, source, rank, max_age, join, renew, fetch, go_by) -> None:
         txn = self.book.open.get(ident)
         if txn is None:  # withdrawn a moment ago
             hop = Hop(ident, self.router.txns[ident].hops[-1].number, "", server, source, None, self.clock)
@@ -309,7 +309,7 @@
                          source, rank, max(1, max_age // MS) if max_age else 0, join, renew and source is not None,
                          fetch, txn.tag, txn.body)
         hop = Hop(ident, txn.hops, txn.name, server, source, want, self.clock, cut_at, txn.group,
-                  NEVER if self.site.rules[txn.rule_at].never_kept else self.purges)
+                  NEVER if self.site.rules[txn.rule_at].never_kept else self.purges, go_by)
         txn.hops += 1
         self.go(hop)
 
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -16,6 +16,7 @@
 log = logging.getLogger("fieldspur.send")
 GONE, NONE = (("", 0), "gone"), (0, 0)
 LOOK_CLIENT = 20 * MS  # a txn taken that long ago has waited for something: its client may have left meanwhile
+LOOK_IDLE = 20 * MS  # a connection on which nothing came for that long may have been closed meanwhile
 WAIT_READER, PAUSE = 30 * MS, 0.0005  # so long is a client's reader left its turn (ns); seconds between looks
 LOOK_BOARD = 50 * MS  # so old may the last look be at whether the board's word lies unread, when a hop is written
 
@@ -115,10 +116,10 @@
             lane.sift()
 
     def stale(self, hop: Hop, now: int) -> bool:
-        """What was right when the hop was decided no longer is: its server, its source, the age of a copy that will do;
-        or it has waited for as long as a connection may take to come up."""
+        """What was right when the hop was decided no longer is: its server, its source, the age of a copy that will do, the time
+        by which it has to go out; or it has waited for as long as a connection may take to come up."""
         servers = self.servers
-        return (servers.get(hop.server, GONE)[1] != "up" or now - hop.asked > self.site.connect_timeout
+        return (servers.get(hop.server, GONE)[1] != "up" or now - hop.asked > self.site.connect_timeout or now > hop.go_by
                 or (hop.source is not None and servers.get(hop.source, GONE)[1] != "up")
                 or (self.doubt is not None and (self.doubt(hop.server) or hop.source is not None and self.doubt(hop.source)))
                 or (bool(self.purged) and hop.want is not None
@@ -130,6 +131,9 @@
         if now - self.looked > LOOK_BOARD and self.board is not None:
             self.board.caught_up()
             self.looked = now = time.time_ns()
+        if now - hop.lane.heard > LOOK_IDLE and hop.lane.over():
+            self.take_back(hop)
+            return False
         if hop.want is not None:
             txn = self.book.open.get(hop.ident)  # gone: withdrawn by its reader, and the Router has not heard of it yet
             if txn is None or now - txn.taken > LOOK_CLIENT and not self.awaited(txn):
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -11,7 +11,8 @@
 from fieldspur.net import frames
 from fieldspur.net.admit import Admit
 from fieldspur.net.book import Answer, Book
-from fieldspur.net.relay import AWAY, Outlet, Relay, looks_at
+from fieldspur.net.now import AWAY, looks_at
+from fieldspur.net.relay import Outlet, Relay
 from fieldspur.site import MS
 
 log = logging.getLogger("fieldspur.takein")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -112,13 +112,20 @@
     def now(self):
         return self.clock
 
-    def hop(self, ident, server, cut_at, source, rank, max_age, join, renew, fetch):
+    def hop(self, ident, server, cut_at, source, rank, max_age, join, renew, fetch, go_by):
         txn, s = self.txns[ident], self.servers[server]
         assert txn["final"] is None, "a hop after the final answer"
         assert (s["state"], s["kind"], s["zone"]) == ("up", 0, 1), "a hop to a server that is not to be used"
         assert source is None or self.servers[source]["state"] == "up", "a source that drains or is gone"
         assert self.second_copies or not any(h["out"] for h in txn["hops"]), "two hops out at once"
         assert self.may_send(txn, server), "an effect may happen twice"
+        ran = [h for h in txn["hops"] if h["out"] or h["result"] not in NEVER_RAN]
+        if ran and txn["rule"].kind == "keyed":
+            assert go_by <= ran[0]["at"] + txn["rule"].remembered - 50 * MS, "a repeat may go out once the first is forgotten"
+        for name in (server, source):
+            began = self.servers[name]["started"] if name not in (None, "origin") else 0
+            if began and self.clock - began < RAMP and self.clock >= began and (name == server or source != server):
+                assert go_by <= began + ((self.clock - began) // SPAN + 1) * SPAN, "a hop to a cold server outlives its span"
         assert len(txn["hops"]) < 8 and self.clock < cut_at <= txn["limit"]
         assert (rank == 0 and not join) if txn["rule"].never_kept else rank >= 2
         for obj, group, made, told in self.purges:
@@ -151,7 +158,7 @@
         ran = [h for h in txn["hops"] if h["out"] or h["result"] not in NEVER_RAN]
         if not ran or txn["rule"].kind == "repeatable":
             return True
-        if txn["rule"].kind == "unrepeatable" or self.clock - ran[0]["at"] >= txn["rule"].remembered:
+        if txn["rule"].kind == "unrepeatable" or self.clock - ran[0]["at"] >= txn["rule"].remembered - 50 * MS:
             return False
         key = txn["rule"].group
         return key == "all" or all(self.servers[h["server"]][key] == self.servers[server][key] for h in ran)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,11 +12,12 @@
 
 from fieldspur.net import resp
 from fieldspur.net.book import Answer, Book, Txn
-from fieldspur.net.lane import Hop
+from fieldspur.net.lane import Hop, Lane
+from fieldspur.net.now import looks_at
 from fieldspur.net.relay import Outlet, Relay
 from fieldspur.net.takein import TakeIn, encode
 from fieldspur.site import MS
-from helpers import Cache, Client, Listener, Notices, endpoint, sender, until
+from helpers import Cache, Client, Listener, Notices, Stalled, endpoint, sender, until
 
 ACK = ("ACK", "entity=e,issued=1,tell=TCP_HIT", b"bytes")
 HELD = "127.0.0.1:1"  # nothing listens there
@@ -333,3 +334,100 @@
     for sig in (signal.SIGHUP, signal.SIGTERM):
         service.process.send_signal(sig)
     assert service.process.wait(20) == 0 and time.monotonic() - began < 3 and "event=ready" not in service.lines()
+
+
+# Connections to cache servers, and repeats.
+
+
+class Dialled(socket.socket):
+    """A socket whose connection comes up when it is told to."""
+
+    come = threading.Event()
+
+    def connect(self, address):
+        assert self.come.wait(10)
+        super().connect(address)
+
+
+@pytest.fixture
+def dial(monkeypatch):
+    come = threading.Event()
+    monkeypatch.setattr(Dialled, "come", come)
+    monkeypatch.setattr("fieldspur.net.lane.socket", SimpleNamespace(**vars(socket) | {"socket": Dialled}))
+    yield come
+    come.set()
+
+
+def stays(send):
+    """The outlet of a client that stays."""
+    here, there = pair()
+    outlet = Outlet(here, encode, send.relay)
+    outlet.there = there
+    return outlet
+
+
+def keyed(send, go_by, ident=5, body=b""):
+    hop = taken(send, stays(send), ident=ident, rule="checkout")
+    hop.want.key, hop.want.body, hop.go_by = "k" * 16, body, go_by
+    return hop
+
+
+@pytest.mark.parametrize("in_time", [True, False])
+def test_a_repeat_that_waited_for_its_connection_goes_out_only_within_what_the_first_try_is_remembered_for(dial, in_time):
+    cache = Cache()
+    send = sender(cache.address, book=Book())
+    hop = keyed(send, time.time_ns() + (20_000 if in_time else 30) * MS)
+    send.hop(hop).pump()
+    while not in_time and time.time_ns() <= hop.go_by:
+        time.sleep(0.005)
+    dial.set()
+    assert until(lambda: send.route.posted)[0][:2] == (hop, "completed" if in_time else "unsent")
+    assert bool(hop.written) == in_time == bool(cache.wants)
+
+
+def test_a_repeat_that_a_server_has_begun_to_read_is_broken_off_before_the_first_try_is_forgotten():
+    """The server reads half of it, and the rest later: it must not have it whole by then."""
+    cache = Stalled()
+    send = sender(cache.address, book=Book())
+    lane = send.hop(keyed(send, time.time_ns() + 20_000 * MS))
+    lane.pump()
+    until(lambda: send.route.posted)
+    cache.go_on.clear()
+    lane.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    hop = keyed(send, time.time_ns() + 300 * MS, 6, b"w" * 1_000_000)
+    assert send.hop(hop) is lane
+    lane.pump()
+    until(lambda: lane.draining)
+    until(lambda: len(send.route.posted) == 2, limit=5)
+    assert send.route.posted[1][:2] == (hop, "unsent") and time.time_ns() >= hop.go_by
+    cache.go_on.set()
+    until(lambda: lane.closed)
+    time.sleep(0.05)
+    assert len(cache.wants) == 1
+
+
+@pytest.mark.parametrize("how", ["closes", "resets"])
+def test_no_hop_is_written_to_a_server_that_has_ended_the_connection_while_it_was_idle(monkeypatch, how):
+    """The end lies in the socket and the connection's reader has not had the core: the hop never ran, so it may go elsewhere."""
+    reading, held = Lane.read, threading.Event()
+    monkeypatch.setattr(Lane, "read", lambda lane: (held.wait(10), reading(lane)))
+    cache = Cache(lambda want: None)
+    send = sender(cache.address, book=Book())
+    hop = taken(send, stays(send))
+    first = Lane(send, "c0", send.servers["c0"][0])
+    send.lanes["c0"] = [first]
+    until(lambda: first.ready and cache.conns)
+    cache.reset() if how == "resets" else cache.conns[0].shutdown(socket.SHUT_WR)
+    until(lambda: looks_at(first.sock).poll(0))
+    first.heard = time.time_ns() - 50 * MS
+    assert send.hop(hop) is first
+    first.pump()
+    assert [about[:2] for about in send.route.posted] == [(hop, "unsent")] and not hop.written
+    again = taken(send, stays(send), ident=6)
+    second = send.hop(again)
+    assert second is not first
+    until(lambda: second.ready)
+    second.pump()
+    until(lambda: cache.wants)
+    assert [want["id"] for want in cache.wants] == [again.name]
+    held.set()
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -9,7 +9,7 @@
 from fieldspur.decide import MS, SECOND, Fleet
 from fieldspur.drill.codec import BadInput, serve
 from fieldspur.host import FILLED_BY_ORIGIN, HIT, ORIGIN_FAILED, SOURCE_REFUSED
-from helpers import Referee, rule
+from helpers import SPAN, Referee, rule
 
 
 def test_concurrent_misses_wait_behind_one_leader_and_follow_to_its_home():
@@ -397,3 +397,31 @@
     assert after == {obj: [name for name in order if name != "c1"] for obj, order in before.items()}
     referee.change("c1", state="up")
     assert {obj: [s.name for s in fleet.order(obj, 0)] for obj in objects} == before
+
+
+@pytest.mark.parametrize("later", [False, True])
+def test_what_a_cold_parent_was_not_asked_after_all_is_given_back_in_the_span_that_was_charged_alone(later):
+    day = Referee()
+    for name in ("p0", "p1"):
+        day.change(name, started=day.clock)
+    day.arrive(1, kb=100.0)
+    parent = day.router.fleet.servers[day.hops(1)[0]["source"]]
+    left, charged = parent.tokens, day.router.txns[1].hops[0].charged
+    assert charged
+    if later:
+        day.clock += SPAN
+        day.router.fleet.has_room(parent, day.clock, 100 * MS)
+        left, charged = parent.tokens, 0.0
+    day.end(1, "completed", HIT)
+    assert parent.tokens == left + charged
+
+
+def test_no_probe_is_spent_on_a_cold_cache():
+    day, probed = Referee(), []
+    day.router.probes, day.probe = True, probed.append
+    day.change("c0", started=day.clock)
+    day.change("c1", started=day.clock)
+    for ident in range(60):
+        day.arrive(ident, obj=f"o{ident}")
+        day.pass_time(100 * MS)
+    assert set(probed) == {"c2"}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -80,3 +80,34 @@
         able = rating * (COLD + (1 - COLD) * max(0, now - SPAN - clock) / RAMP)
         assert 0.3 * sum(at > now - SPAN for at in asked) <= MULTIPLE * able + 0.3
     assert 0.3 * len(asked) > 0.1 * rating * RAMP / SECOND  # and it is used
+
+
+@pytest.mark.parametrize("routers, rating", [(20, 40.0), (30, 200.0), (200, 200.0)])
+@pytest.mark.parametrize("again", [(0.3,), (0.2, 0.5, 0.8)])
+def test_routers_that_are_restarted_in_the_middle_of_a_span_do_not_spend_it_again(routers, rating, again):
+    """Seven in ten of them, in each second span, each time after they have asked for all that they may."""
+    clock, asked = 1000 * SECOND, []
+
+    def begin(seed, now):
+        fleet = Fleet(zone=1, parent_kind=1, origin_kind=2, sized="nominal", cache_share=1 / routers, parent_share=1 / routers,
+                      cache_cold=(COLD, RAMP, MULTIPLE), parent_cold=(COLD, RAMP, MULTIPLE), fall_span=SPAN, link=0.0, siblings=False)
+        fleet.random, fleet.began = random.Random(seed), now
+        fleet.list_begins(True)
+        fleet.server_listed("cold", "up", clock, 1, rating, 0, 0)
+        fleet.list_ends()
+        return fleet
+
+    fleets = [begin(seed, clock - SECOND) for seed in range(routers)]
+    for now in range(clock, clock + RAMP, 20 * MS):
+        span, at = divmod(now - clock, SPAN)
+        if span % 2 and at in [int(share * SPAN) for share in again]:
+            for n in range(0, routers * 7 // 10):
+                fleets[n] = begin(now + n, now)
+        for fleet in fleets:
+            cold = fleet.servers["cold"]
+            while fleet.has_room(cold, now, 300 * MS):
+                cold.tokens -= 300 * MS
+                asked.append(now)
+        budget = MULTIPLE * rating * (COLD + (1 - COLD) * max(0, now - SPAN - clock) / RAMP) / 0.3
+        assert sum(at > now - SPAN for at in asked) <= budget + 2 * budget ** 0.5 + 2
+    assert 0.3 * len(asked) > 0.1 * rating * RAMP / SECOND  # and it is used
