--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import logging
 import select
 import socket
@@ -24,6 +25,7 @@
 IDLE, HALF, AFTER = "idle", "half a frame", "shut"  # why a connection is closed that brings nothing, or no end of what it began
 MOST_AFTER = 1 << 20  # bytes read on after what can't be read
 BACKLOG = 512
+NO_ROOM = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM
 ROOM_WAIT, ACCEPT_PAUSE = 0.1, 0.01  # seconds for which a new connection waits for a descriptor; after an accept that failed
 
 
@@ -170,7 +172,9 @@
             except OSError as wrong:
                 if not self.closing:
                     log.error("accept", extra={"kv": {"why": str(wrong)}})
-                time.sleep(ACCEPT_PAUSE)
+                    if wrong.errno in NO_ROOM and self.make_room(none=True):
+                        continue
+                time.sleep(ACCEPT_PAUSE)  # else it would be told so again and again, by a whole core
                 continue
             self.enter(sock)
 
@@ -212,22 +216,23 @@
                 else:
                     client.outlet.shut_if_idle()
 
-    def make_room(self) -> bool:
+    def make_room(self, none: bool = False) -> bool:
         """Whether there is a descriptor for one more. Each counts until it is free: beyond `most_clients` there are `spare` for
         those whose side was shut and who have not closed theirs yet. One without a txn is shut: of those that never sent a request
         of use, if there are any, and of these the one idle for longest. Where even the spare ones are taken, the one that was shut
-        first is cut off and its descriptor waited for, a moment at most."""
+        first is cut off and its descriptor waited for, a moment at most; so it is where the system has `none` left, whoever took them."""
         with self.lock:
             for client in sorted((c for c in self.clients if not c.outlet.streams and not c.outlet.shut_at),
                                  key=lambda c: (c.proved, c.outlet.idle_since)):
                 if not client.unread() and client.outlet.shut_if_idle():
                     break
             shut = sorted((c for c in self.clients if c.outlet.shut_at), key=lambda c: c.outlet.shut_at)
-            if not shut or len(self.clients) < self.most_clients + self.spare:
+            most = len(self.clients) if none else self.most_clients + self.spare
+            if not shut or len(self.clients) < most:
                 return bool(shut)
             for client in shut[:1 + len(shut) // 2]:
                 client.outlet.cut_off()
-            return self.room.wait_for(lambda: len(self.clients) < self.most_clients + self.spare, ROOM_WAIT)
+            return self.room.wait_for(lambda: len(self.clients) < most, ROOM_WAIT)
 
     def hold(self, client: Client, size: int) -> None:
         """What a client has of an unfinished frame; beyond the bound of all, whoever has most is closed."""
