A hop waits for its client's reader, not the writer with it: others' hops go on

Change: such a hop is put by under the lock of its client's outlet, in the same step as the look, and its reader puts it back into its queue after the turn that worked off what lay there; once a hop. No thread waits, no time is guessed. A reader reads on 4 times, not 64, before it hands over what it took.

Tests: two of test_crossings were about the wait; they now ask that the hop goes by the reader's turn, and that another hop on that connection goes meanwhile (the old one was held up).

--- a/fieldspur/net/lane.py
+++ b/fieldspur/net/lane.py
@@ -43,6 +43,7 @@
     lane: Lane | None = None
     written: int = 0  # when it went out, 0 before
     ended: bool = False
+    waited: bool = False  # for its client's reader, once
 
 
 def keep_little(sock: socket.socket, unsent: int = UNSENT) -> None:
@@ -96,6 +97,11 @@
             self.queue.append(hop)
             return True
 
+    def again(self, hop: Hop) -> None:
+        """A hop that waited for its client's reader goes on."""
+        self.queue.append(hop)
+        self.pump()
+
     def drop(self, hop: Hop, now: int) -> None:
         """A hop was given up; a connection on which nothing came since it was written is not used again."""
         with self.lock:
--- a/fieldspur/net/relay.py
+++ b/fieldspur/net/relay.py
@@ -32,17 +32,31 @@
         self.ended = False
         self.freed = None  # called, without the lock, once its descriptor is free
         self.idle_since = time.monotonic()
-        self.reader, self.turns = 0, 0  # the thread that reads it, and how many of its reads are worked off
+        self.hops: list = []  # that wait until its reader has worked off what lies in the socket
         self.looks = looks_at(sock)  # for `look` alone, under the lock
 
-    def look(self) -> str:
+    def look(self, hop) -> str:
         """What lies in the socket that its reader may not have come to: LEFT, a close or reset, also behind other bytes; UNREAD,
-        bytes; else nothing."""
-        with self.lock:  # whoever ends it gives its descriptor away
+        bytes, and the hop waits here until the reader has worked them off, once; else nothing. Both under the lock: bytes that lie
+        there now are read later, and `read_off` comes after that, so the hop is not forgotten here."""
+        with self.lock:  # whoever ends it gives its descriptor away, too
             found = 0 if self.ended else self.looks.poll(0)
-        if not found:
-            return LEFT if found == 0 else ""
-        return LEFT if found[0][1] & AWAY else UNREAD
+            if not found:
+                return LEFT if found == 0 else ""
+            if found[0][1] & AWAY:
+                return LEFT
+            if hop.waited:
+                return ""
+            hop.waited = True
+            self.hops.append(hop)
+            return UNREAD
+
+    def read_off(self) -> None:
+        """Called by the reader, after each time that it has worked off what lay there."""
+        with self.lock:
+            hops, self.hops = self.hops, []
+        for hop in hops:
+            hop.lane.again(hop)
 
     def answer(self, stream: int, answer: Answer, cork: list | None = None) -> bool:
         """False where the client has withdrawn: taking the stream out is what gives the right to use it. With `cork` a
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -17,7 +17,6 @@
 GONE, NONE = (("", 0), "gone"), (0, 0)
 LOOK_CLIENT = 20 * MS  # a txn taken that long ago has waited for something: its client may have left meanwhile
 LOOK_IDLE = 20 * MS  # a connection on which nothing came for that long may have been closed meanwhile
-WAIT_READER, PAUSE = 30 * MS, 0.0005  # so long is a client's reader left its turn (ns); seconds between looks
 LOOK_BOARD = 50 * MS  # so old may the last look be at whether the board's word lies unread, when a hop is written
 
 
@@ -126,17 +125,27 @@
                     and max(self.purged.get(hop.want.obj, NONE)[0], self.purged.get(hop.group, NONE)[0]) > hop.purges))
 
     def begin(self, hop: Hop) -> bool:
-        """Just before a hop is written: it may have been given up, or not be right any more."""
+        """Just before a hop is written: it may have been given up, or not be right any more, or its client may have gone: of a txn
+        that has waited, a close, reset or withdrawal may lie unread in the socket. What lies there is for the client's own reader,
+        which puts the hop back into its queue once it has worked that off."""
         now = time.time_ns()
         if now - self.looked > LOOK_BOARD and self.board is not None:
             self.board.caught_up()
             self.looked = now = time.time_ns()
+        if hop.ended:
+            return False
         if now - hop.lane.heard > LOOK_IDLE and hop.lane.over():
             self.take_back(hop)
             return False
         if hop.want is not None:
             txn = self.book.open.get(hop.ident)  # gone: withdrawn by its reader, and the Router has not heard of it yet
-            if txn is None or now - txn.taken > LOOK_CLIENT and not self.awaited(txn):
+            if txn is not None and now - txn.taken > LOOK_CLIENT:
+                if (found := txn.outlet.look(hop)) is UNREAD:
+                    return False
+                if found is LEFT and self.book.withdraw(txn.ident, left=True):
+                    self.route.post(self.route.withdrawn, txn.ident)
+                    txn = None
+            if txn is None:
                 self.take_back(hop)
                 return False
         with self.lock:
@@ -148,21 +157,6 @@
         self.take_back(hop)
         return False
 
-    def awaited(self, txn: Txn) -> bool:
-        """Whether its client still waits, of a txn that has waited itself. Guards against an attempt begun for one that has gone:
-        its close, reset or withdrawal may lie unread in the socket. What lies there is for the client's own reader; it is left a
-        moment for that."""
-        outlet, began = txn.outlet, 0
-        turns = outlet.turns
-        while (found := outlet.look()) is UNREAD and outlet.reader != threading.get_ident() and outlet.turns - turns < 2:
-            began = began or time.time_ns()
-            if time.time_ns() - began > WAIT_READER:
-                break
-            time.sleep(PAUSE)
-        if found is LEFT and self.book.withdraw(txn.ident, left=True):
-            self.route.post(self.route.withdrawn, txn.ident)
-        return txn.ident in self.book.open
-
     def take_back(self, hop: Hop) -> None:
         with hop.lane.lock:
             hop.lane.open.pop(hop.name, None)
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -24,7 +24,7 @@
 FRAME_WAIT, IDLE_WAIT, AFTER_WAIT, LOOK_EVERY = 2.0, 5.0, 0.5, 0.2
 IDLE, HALF, AFTER = "idle", "half a frame", "shut"  # why a connection is closed that brings nothing, or no end of what it began
 MOST_AFTER = 1 << 20  # bytes read on after what can't be read
-MOST_BEHIND = 64  # reads worked off together, while more lies there
+MOST_BEHIND = 4  # further reads before what was taken is handed over, while more lies there
 BACKLOG = 512
 NO_ROOM = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM
 ROOM_WAIT, ACCEPT_PAUSE = 0.1, 0.01  # seconds for which a new connection waits for a descriptor; after an accept that failed
@@ -65,18 +65,17 @@
 
     def read(self) -> None:
         decoder, after, behind = frames.Decoder(), 0, 0
-        self.outlet.reader, looks = threading.get_ident(), looks_at(self.sock).poll
+        looks = looks_at(self.sock).poll
         try:
             while size := self.sock.recv_into(decoder.window.view if self.failed or self.outlet.shut_at else decoder.window.room()):
                 if self.failed or self.outlet.shut_at:  # only to see its end, or what it was told might be lost in a reset
                     after += size
                     if after > MOST_AFTER and not self.outlet.streams:
                         break
+                    self.outlet.read_off()
                     continue
                 if (found := looks(0)) and found[0][1] & AWAY:
                     break  # nobody waits for what it sent; guards against attempts begun for thousands that send and go
-                # What lies behind may take back what was just read; guards against an attempt begun for what is cancelled already.
-                behind = behind + 1 if found and behind < MOST_BEHIND else 0
                 now = time.time_ns()
                 self.takein.route.gather()
                 try:
@@ -88,14 +87,19 @@
                 except frames.BadFrame as bad:
                     self.fail(str(bad))
                 finally:
-                    self.outlet.turns += 1
-                    if not behind or self.failed:
+                    # What lies behind may take back what was just read; guards against an attempt begun for what is cancelled
+                    # already. A few reads, for others wait meanwhile.
+                    behind = behind + 1 if found and self.outlet.streams and behind < MOST_BEHIND and not self.failed else 0
+                    if not behind:
                         self.takein.route.handle()
+                        if self.outlet.hops:
+                            self.outlet.read_off()
         except OSError:
             pass  # reset: as if it had closed
         self.hold(0)
         self.takein.ended(self)
         self.takein.route.handle()
+        self.outlet.read_off()
 
     def free(self) -> None:
         self.takein.freed(self)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -41,6 +41,14 @@
     return Hop(ident, 0, txn.name, "c0", None, want, now)
 
 
+def stays(send):
+    """The outlet of a client that stays."""
+    here, there = pair()
+    outlet = Outlet(here, encode, send.relay)
+    outlet.there = there
+    return outlet
+
+
 # Clients that leave.
 
 
@@ -85,30 +93,32 @@
     there.sendall(b"\0\0\0\5C\0\0\0\1")
     lane = send.hop(hop)
     until(lambda: lane.ready)
-
-    def reader():
-        time.sleep(0.005)  # its turn comes later
-        here.recv(100)
-        send.book.withdraw(5)
-        outlet.turns += 1
-    thread = threading.Thread(target=reader)
-    thread.start()
     lane.pump()
-    thread.join()
-    until(lambda: any(about[:2] == (hop, "unsent") for about in send.route.posted))
-    assert not cache.wants
+    assert not hop.written and not send.route.posted and lane.open
+    here.recv(100)  # its reader has its turn
+    send.book.withdraw(5)
+    outlet.read_off()
+    assert [about[:2] for about in send.route.posted] == [(hop, "unsent")] and not cache.wants and not outlet.hops
     here.close(), there.close()
 
 
-def test_a_client_that_sends_more_while_it_waits_gets_its_attempt_after_a_moment():
+def test_a_client_that_sends_on_and_on_gets_its_attempt_after_one_turn_of_its_reader_and_holds_up_nobody():
+    """Found in the laboratory: a writer that waited for each such reader left all others' hops waiting behind it."""
     cache, (here, there) = Cache(), pair()
     send = sender(cache.address, book=Book())
-    hop = taken(send, Outlet(here, encode, send.relay), before_ms=50)
-    there.sendall(b"nobody reads this")
-    began = time.monotonic()
-    send.hop(hop).pump()
+    outlet = Outlet(here, encode, send.relay)
+    hop, other = taken(send, outlet, before_ms=50), taken(send, stays(send), ident=6, before_ms=50)
+    there.sendall(b"more and more")
+    lane = send.hop(hop)
+    until(lambda: lane.ready)
+    assert send.hop(other) is lane
+    lane.pump()
     until(lambda: cache.wants)
-    assert hop.written and time.monotonic() - began < 2
+    assert other.written and not hop.written
+    here.recv(4)  # and the rest lies there
+    outlet.read_off()
+    until(lambda: len(cache.wants) == 2)
+    assert hop.written
     here.close(), there.close()
 
 
@@ -138,11 +148,11 @@
     takein = entered()
     there = joins(takein)
     client = next(iter(takein.clients))
-    looker = threading.Thread(target=client.outlet.look, name="looker")
+    looker = threading.Thread(target=client.outlet.look, args=(SimpleNamespace(waited=False),), name="looker")
     looker.start()
     assert looking.wait(10)
-    there.send(67, 9)  # of a stream that it does not have: nothing in it waits for the look's lock
-    until(lambda: client.outlet.turns)
+    there.sock.sendall(b"\0\0\0")  # half a frame: nothing in it waits for the look's lock
+    until(lambda: client.held)
     go_on.set()
     looker.join()
     takein.listener.close()
@@ -423,14 +433,6 @@
     come.set()
 
 
-def stays(send):
-    """The outlet of a client that stays."""
-    here, there = pair()
-    outlet = Outlet(here, encode, send.relay)
-    outlet.there = there
-    return outlet
-
-
 def keyed(send, go_by, ident=5, body=b""):
     hop = taken(send, stays(send), ident=ident, rule="checkout")
     hop.want.key, hop.want.body, hop.go_by = "k" * 16, body, go_by
