A cancel behind a long request counts also beside other open txns; stops in tests are waited for

(3) Reads behind a request were counted with the request's own where other txns were open (takein.py read), so its cancel could be the sixth; counted from what was taken now. (4) Only a further hop of a keyed txn is broken off in the middle, not a first one to a cold cache (lane.py drain).

--- a/fieldspur/net/lane.py
+++ b/fieldspur/net/lane.py
@@ -232,7 +232,7 @@
             while True:
                 if left:
                     keep_little(self.sock, ANY)
-                    self.finish(left, NEVER if cut is None else cut.go_by)
+                    self.finish(left, cut.go_by if cut is not None and cut.number and cut.want.key else NEVER)
                     keep_little(self.sock)
                 cut = None
                 if not self.room():
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -8,7 +8,7 @@
 
 from fieldspur.decide import LANES
 from fieldspur.net import resp
-from fieldspur.net.book import Answer, Book, Txn
+from fieldspur.net.book import Answer, Book
 from fieldspur.net.lane import Hop, Lane
 from fieldspur.net.relay import LEFT, UNREAD, Relay
 from fieldspur.site import MS, Deployment
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -64,7 +64,7 @@
         self.failed = False
 
     def read(self) -> None:
-        decoder, after, behind = frames.Decoder(), 0, 0
+        decoder, after, behind, taken = frames.Decoder(), 0, 0, False
         looks = looks_at(self.sock).poll
         try:
             while size := self.sock.recv_into(decoder.window.view if self.failed or self.outlet.shut_at else decoder.window.room()):
@@ -81,6 +81,7 @@
                 try:
                     for value in decoder.filled(size):
                         self.took(value, now)
+                        taken = True
                     held = decoder.window.end - decoder.window.start
                     if held or self.held:
                         self.hold(held)
@@ -89,8 +90,9 @@
                 finally:
                     # What lies behind may take back what was just read; guards against an attempt begun for what is cancelled
                     # already. A few reads, for others wait meanwhile.
-                    behind = behind + 1 if found and self.outlet.streams and behind < MOST_BEHIND and not self.failed else 0
+                    behind = behind + 1 if found and taken and behind < MOST_BEHIND and not self.failed else 0
                     if not behind:
+                        taken = False
                         self.takein.route.handle()
                         if self.outlet.hops:
                             self.outlet.read_off()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -233,6 +233,24 @@
     return found
 
 
+def pause(process):
+    """Stops a process, and returns once each of its threads has stopped; on a busy machine that takes a moment."""
+    process.send_signal(signal.SIGSTOP)
+    tasks = f"/proc/{process.pid}/task"
+    until(lambda: all(open(f"{tasks}/{one}/stat").read().rsplit(")", 1)[1].split()[0] == "T" for one in os.listdir(tasks)))
+
+
+def at_its_peer(sock, state):
+    """Returns once the other end of a connection on this machine is in that state of the system's table: 8, its peer's end has come;
+    7, reset or closed, where it is not listed at all."""
+    here, there = ("%s:%04X" % (bytes(reversed(socket.inet_aton(host))).hex().upper(), port) for host, port in (sock.getsockname(), sock.getpeername()))
+
+    def found():
+        rows = [row.split() for row in open("/proc/net/tcp").read().splitlines()[1:]]
+        return next((int(row[3], 16) for row in rows if row[1] == there and row[2] == here), 7) == state
+    until(found)
+
+
 class Listener:
     """Accepts connections on loopback; each is served by `serve` in a thread of its own."""
 
