A rule's largest txns keep their part where there is too little for all

Line: decide.py send, crowd by worth alone.

Change: a rule knows where its largest tenth and the next fifth begin (counted on with each arrival) and, once something is given up, what part of each and of all is answered.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -42,6 +42,7 @@
 CROWD_STEP, PACE_STEP = 0.15, 0.4  # weight of one cache's crowd in the usual one, of one hit's in a cache's
 FILL_PACE, PROBE_GAP, SEEN_LAG = 2.5, 400 * MS, 1.15  # a fill's pace over a client's; probes; seen late
 FIRST_WORK, FIRST_BYTE, LEARN = 400 * MS, 80 * MS, 0.05  # before any is learned; weight of one sample
+KEPT_PART, PART_STEP = 0.8, 0.1  # what a rule's largest keep of its answered part at the least; one sample
 REPEAT_WAY, NEVER = 50 * MS, 1 << 62  # what a repeat may take from its write to its server: the protocol's slack
 
 
@@ -139,6 +140,30 @@
         return min(max(1000, now - made), fresh or now) if made and now - made <= 2 * self.span else 0
 
 
+@record(eq=False)
+class Sizes:
+    """One rule's largest txns, a tenth and the next fifth, and what part of each, and of all, is answered."""
+
+    tenth: float = 0.0  # sending time at which the largest tenth begins
+    third: float = 0.0  # the same for the largest three tenths
+    answered: list = made(lambda: [1.0, 1.0, 1.0])  # of the tenth, of the fifth, of all
+    lately: bool = False  # some were given up, so it is counted
+
+    def band(self, work: int) -> int:
+        return 0 if work >= self.tenth else 1 if work >= self.third else 2
+
+    def ended(self, work: int, well: bool) -> None:
+        band = self.band(work)
+        if band < 2:
+            self.answered[band] += (well - self.answered[band]) * PART_STEP
+        self.answered[2] += (well - self.answered[2]) * LEARN
+        self.lately = min(self.answered) < 0.99
+
+    def short(self, work: int) -> bool:
+        """Guards the largest against being all that pays when there is too little for all."""
+        return self.answered[self.band(work)] < KEPT_PART * self.answered[2]
+
+
 @record()
 class Flight:
     leader: Txn
@@ -406,6 +431,7 @@
         self.collapsing, self.kb_per_s, self.hop_limit, self.joins = collapsing, kb_per_s, hop_limit, joins
         self.probes, self.cancels, self.longest_come_back = probes, cancels, longest_come_back
         self.works = [float(FIRST_WORK)] * len(rules)  # mean sending times, learned
+        self.sizes = [Sizes() for _ in rules]
         self.spreads = [FIRST_WORK / 2] * len(rules)  # their mean deviation, where sizes are not told
         self.mean_work, self.mean_importance = float(FIRST_WORK), 1.0
         self.first_byte_after, self.first_byte_spread = float(FIRST_BYTE), FIRST_BYTE / 2
@@ -421,6 +447,9 @@
         if work > rule.limit:  # can't be sent in its time; nor is a figure out of range to be learned
             return self.give_up(txn)
         self.works[rule_at] += (work - self.works[rule_at]) * LEARN
+        sizes, step = self.sizes[rule_at], self.works[rule_at] * LEARN
+        sizes.tenth += step * ((work >= sizes.tenth) - 0.1)
+        sizes.third += step * ((work >= sizes.third) - 0.3)
         self.retries = min(RETRY_MOST, self.retries + RETRY_SHARE)
         if rule.never_kept:  # nothing to share: straight through a cache to the origin
             return self.send(txn)
@@ -462,6 +491,9 @@
             return self.give_up(txn)
         mean = max(self.works[txn.rule_at], txn.work)
         worth = rule.importance / self.mean_importance * self.mean_work / max(txn.work, MS)
+        sizes = self.sizes[txn.rule_at]
+        if worth < 1 and sizes.lately and sizes.short(txn.work):
+            worth = 1.0  # no less than the others'
         filling, fetch = 0.0 if known or rule.never_kept else self.fleet.miss_share, True
         crowd = CROWD_LEAST + min(CROWD_MOST, worth)
         follow = leader.hops[-1].server if leader is not None and leader.hops else None
@@ -530,6 +562,7 @@
 
     def give_up(self, txn: Txn) -> None:
         """The final answer, at once."""
+        self.sizes[txn.rule_at].ended(txn.work, False)
         if self.may_reject(txn):
             self.host.reject(txn.ident, int(self.longest_come_back * self.random.uniform(0.3, 1.0)))
         else:
@@ -583,6 +616,8 @@
         if txn.ended:
             self.txns.pop(ident, None)
         elif final:
+            if result == "completed" and self.sizes[txn.rule_at].lately:
+                self.sizes[txn.rule_at].ended(txn.work, True)
             self.finish(txn, result == "completed")
         elif (now >= txn.limit_at - 2 * MS or result == "timed_out" or txn.hopeless
               or (self.retries < 1 and result not in LOST) or sum(h.erred for h in txn.hops) >= ERRORS_MOST):
