A client that has gone leaves no cycle behind

Cause: since Outlet.freed held a method of its Client, which holds the outlet (takein.py __init__); a connection's buffers then stayed until the collector's rare full look. The hold is let go as the descriptor is freed. Test: red before (the client is there after 5 s with the collector off). Beside it: a connection that is refused its options is closed alone; an error there would have ended the thread that accepts.

--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -104,6 +104,7 @@
         self.outlet.read_off()
 
     def free(self) -> None:
+        self.outlet.freed = None  # else each holds the other until the collector looks, which is rare
         self.takein.freed(self)
 
     def hold(self, size: int) -> None:
@@ -195,8 +196,12 @@
             log.warning("clients_full", extra={"kv": {"clients": len(self.clients)}})
             sock.close()
             return
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self.gone_after_ms)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self.gone_after_ms)
+        except OSError:  # it was reset before it came here, on systems that say so
+            sock.close()
+            return
         client = Client(self, sock)
         with self.lock:
             self.clients.add(client)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,11 +1,13 @@
 """Two events that cross, forced: departures of clients, closes, shutdown, retries, watches. The table is docs/design/crossings.md."""
 
+import gc
 import os
 import select
 import signal
 import socket
 import threading
 import time
+import weakref
 from types import SimpleNamespace
 
 import pytest
@@ -313,6 +315,31 @@
     takein.listener.close()
 
 
+def test_a_connection_that_is_refused_its_options_ends_alone():
+    """As some systems do for one that was reset while it waited; the thread that accepts must not end by it."""
+    class Reset(socket.socket):
+        def setsockopt(self, *about):
+            raise OSError("reset")
+    takein, sock = entered(), Reset()
+    takein.enter(sock)
+    assert sock.fileno() < 0 and not takein.clients
+    takein.listener.close()
+
+
+def test_a_client_that_has_gone_leaves_no_cycle_behind():
+    """What is freed by the collector of garbage alone stays for minutes, for its looks are rare."""
+    takein = entered()
+    there = joins(takein)
+    client = weakref.ref(next(iter(takein.clients)))
+    gc.disable()
+    try:
+        there.file.close(), there.sock.close()
+        until(lambda: not takein.clients and client() is None, limit=5)
+    finally:
+        gc.enable()
+        takein.listener.close()
+
+
 def test_where_all_have_txns_a_further_client_is_turned_away_at_once():
     takein = entered(most=2)
     both = [joins(takein), joins(takein)]
