No hit renews behind at a cold parent; SIGTERM in the middle of a reload is forced

Seen by reading: a hop with `refresh` may hit and let its cache fetch anew from a cold parent; the answer says hit, so the charge for that fill was given back (decide.py send, learn). Now a hop whose source is charged does not renew.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -543,7 +543,7 @@
         age = self.purges.oldest_copy(now, txn.obj, txn.group, span) or (span if span > rule.fresh else 0)
         join = self.joins and not rule.never_kept and not (hop.number and any(h.alone for h in txn.hops))
         self.host.hop(txn.ident, server.name, txn.limit_at, source.name if source else None, rank, age, join,
-                      rule.fresh > 0, fetch, go_by)
+                      rule.fresh > 0 and not charged, fetch, go_by)  # a hit that renews is a fill, too
         hop.due = self.at(now + self.patience(hop, now, len(server.out)), self.hop_due, hop)
 
     def may_send(self, txn: Txn, server: Server, now: int) -> bool:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -427,6 +427,22 @@
     assert 2.0 < time.monotonic() - began < 3.7 and client.get() is None and service.process.wait(20) == 0
 
 
+def test_a_signal_to_end_in_the_middle_of_a_reload_is_obeyed_after_it(run):
+    """The file is read while the signal comes: it comes through a pipe, whose other end is the test's."""
+    service = run(Cache())
+    service.client()
+    text = service.path.read_text()
+    service.path.unlink()
+    os.mkfifo(service.path)
+    service.process.send_signal(signal.SIGHUP)
+    with open(service.path, "w") as pipe:  # returns once the router reads
+        service.process.send_signal(signal.SIGTERM)
+        pipe.write(text)
+    assert service.process.wait(20) == 0
+    lines = service.lines()
+    assert lines.index("event=reloaded") < lines.index("event=ending") < lines.index("event=ended") and lines.count("event=ending") == 1
+
+
 def test_a_signal_to_end_during_the_start_ends_the_program_before_it_was_ready(run):
     service = run(Cache(), notices=Notices(wait=60), operators={"start": {"board_wait_s": 5}})
     client = service.early()
