A hop to a cold server may go out half a span after the one it was charged to

There six in ten caches are new and some connections come up late, up to 1 s: what waited for them was taken back and charged again.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -262,8 +262,10 @@
         return bool(s.started) and now - s.started < self.cold[s.kind == self.parent_kind][2]
 
     def span_ends(self, s: Server, now: int) -> int:
-        """A hop to a cold server goes out in the span that it was charged to."""
-        return s.started + (max(0, now - s.started) // self.fall_span + 1) * self.fall_span
+        """A hop to a cold server goes out in the span that it was charged to, or, over a late dial, in the first
+        half of the next: a hop taken back is charged again, and many are where connections come up late."""
+        spans = max(0, now - s.started) // self.fall_span + 1.5
+        return s.started + int(spans * self.fall_span)
 
     def has_room(self, s: Server, now: int, charge: float) -> bool:
         """Guards a freshly started server: this router's part of what all may send it in each span. A part
