--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -417,9 +417,9 @@
     service = run(cache)
     client = service.client()
     client.ask(1, limit="5000", ram="5600")  # so large that its server may be silent for so long
-    client.ask(2, limit="5000", ram="5600", item="%016x" % 1)  # waits behind the first
+    client.ask(2, limit="5000", ram="5600", item="%016x" % 1)
     client.ask(3, limit="3000", ram="5600", verb="checkout", unique="k3")
-    until(lambda: len(cache.wants) == 2)
+    until(lambda: len(cache.wants) == 3)
     began = time.monotonic()
     service.process.terminate()
     assert client.get()[0] == 90
