A departed client's attempt is dropped whoever withdraws it; a descriptor is freed by one thread

Seen by reading the whole change again. (1) Send.begin took a hop back only where it withdrew the txn itself; where the client's reader did so between the look and the claim, the hop was written. (2) Outlet.drain looked at `ended` after it had given the lock away: a reader that ended then freed too, and the second of the two could call what the first had let go (relay.py drain, takein.py free): an error that ends the program. It now goes by what it saw under the lock. Both forced, both red on the commit before.

--- a/fieldspur/net/relay.py
+++ b/fieldspur/net/relay.py
@@ -110,13 +110,15 @@
             self.relay.hold(len(piece))
 
     def drain(self) -> None:
+        last = False  # whoever ends it last frees its descriptor, and says so once
         while True:
             with self.lock:
                 if not self.waiting or self.ended:
                     self.relay.hold(-sum(map(len, self.waiting)))
                     self.waiting.clear()
                     self.writing = False
-                    if self.ended:
+                    last = self.ended
+                    if last:
                         self.sock.close()
                     else:
                         self.close_if_done()
@@ -129,7 +131,7 @@
                     self.cut()
             self.idle_since = time.monotonic()
             self.relay.hold(-len(data))
-        if self.ended and self.freed is not None:
+        if last and self.freed is not None:
             self.freed()
 
     def close_if_done(self) -> None:
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -142,8 +142,9 @@
             if txn is not None and now - txn.taken > LOOK_CLIENT:
                 if (found := txn.outlet.look(hop)) is UNREAD:
                     return False
-                if found is LEFT and self.book.withdraw(txn.ident, left=True):
-                    self.route.post(self.route.withdrawn, txn.ident)
+                if found is LEFT:
+                    if self.book.withdraw(txn.ident, left=True):  # else its reader did so just now
+                        self.route.post(self.route.withdrawn, txn.ident)
                     txn = None
             if txn is None:
                 self.take_back(hop)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,7 +16,7 @@
 from fieldspur.net.book import Answer, Book, Txn
 from fieldspur.net.lane import Hop, Lane
 from fieldspur.net.now import looks_at
-from fieldspur.net.relay import Outlet, Relay
+from fieldspur.net.relay import LEFT, Outlet, Relay
 from fieldspur.net.send import LOOK_CLIENT
 from fieldspur.net.takein import TakeIn, encode
 from fieldspur.decide import MS, SECOND
@@ -327,6 +327,43 @@
     takein.listener.close()
 
 
+def test_a_reader_that_ends_as_the_writer_has_just_ended_frees_the_descriptor_once():
+    """The reader's end comes between the writer's last look, when nothing waited and nothing had ended, and its return."""
+    here, there = pair()
+    outlet, freed = Outlet(here, encode, Relay(1 << 20)), []
+    outlet.freed = lambda: freed.append(here.fileno())
+
+    class Lock:
+        def __init__(self):
+            self.real = threading.Lock()
+
+        def __enter__(self):
+            self.real.acquire()
+
+        def __exit__(self, *about):
+            self.real.release()
+            if not outlet.writing and not outlet.ended:
+                outlet.end()
+    outlet.waiting.append(b"x")
+    outlet.writing, outlet.lock = True, Lock()
+    outlet.drain()
+    assert freed == [-1] and there.recv(9) == b"x"
+    there.close()
+
+
+def test_an_attempt_does_not_begin_where_its_client_s_reader_was_first_to_withdraw(monkeypatch):
+    """The end is seen by who writes, and the reader takes the txn out of the book before that one can."""
+    cache = Cache()
+    send = sender(cache.address, book=Book())
+    outlet = stays(send)
+    hop = taken(send, outlet, before_ms=50)
+    monkeypatch.setattr(outlet, "look", lambda hop: (send.book.withdraw(5, left=True), LEFT)[1])
+    lane = send.hop(hop)
+    until(lambda: lane.ready)
+    lane.pump()
+    assert [about[:2] for about in send.route.posted] == [(hop, "unsent")] and not hop.written and not cache.wants
+
+
 def test_a_client_that_has_gone_leaves_no_cycle_behind():
     """What is freed by the collector of garbage alone stays for minutes, for its looks are rare."""
     takein = entered()
