--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -43,7 +43,7 @@
 FILL_PACE, PROBE_GAP, SEEN_LAG = 2.5, 400 * MS, 1.15  # a fill's pace over a client's; probes; seen late
 FIRST_WORK, FIRST_BYTE, LEARN = 400 * MS, 80 * MS, 0.05  # before any is learned; weight of one sample
 KEPT_PART, PART_STEP = 0.8, 0.1  # what a rule's largest keep of its answered part at the least; one sample
-REPEAT_WAY, NEVER = 50 * MS, 1 << 62  # what a repeat may take from its write to its server: the protocol's slack
+REPEAT_WAY, NEVER = 50 * MS, 1 << 62  # a repeat's way from its write to its server: the slack
 
 
 @record(eq=False)
@@ -187,7 +187,8 @@
         self.zone, self.parent_kind, self.origin_kind = zone, parent_kind, origin_kind
         self.size_trust = 1.0 if sized == "nominal" else 0.0
         self.cold = {False: (cache_share, *cache_cold), True: (parent_share, *parent_cold)}
-        self.fall_span, self.siblings, self.began = fall_span, siblings, 0  # began: this process, by the Router
+        self.fall_span, self.siblings = fall_span, siblings
+        self.began = 0  # when this process did, by the Router
         self.share, self.random, self.log = cache_share, random.Random(0), print  # the Router's own
         self.link_fits = link * cache_share  # fills that this router's share of the way in takes at full pace
         self.link_told, self.link_told_at, self.crowd, self.crowd_at = 0.0, 0, 0.0, 0  # of all routers, here
@@ -262,8 +263,8 @@
         return bool(s.started) and now - s.started < self.cold[s.kind == self.parent_kind][2]
 
     def span_ends(self, s: Server, now: int) -> int:
-        """A hop to a cold server goes out in the span that it was charged to, or, over a late dial, in the first
-        half of the next: a hop taken back is charged again, and many are where connections come up late."""
+        """A hop to a cold server goes out in the span that it was charged to, or, over a late dial, in the
+        first half of the next: one taken back is charged again, and many are where dials are late."""
         spans = max(0, now - s.started) // self.fall_span + 1.5
         return s.started + int(spans * self.fall_span)
 
@@ -639,7 +640,7 @@
             for peer in self.fleet.peers(source) if len(self.fleet.parents) > 1 else ():
                 peer.missed += bool(peer.feeds)
         elif source is not None and note in (HIT, JOINED, PAST_FRESH):
-            if (hop.sent - source.started) // self.fleet.fall_span == source.tokens_for:  # else that span is over
+            if (hop.sent - source.started) // self.fleet.fall_span == source.tokens_for:  # else it is over
                 source.tokens += hop.charged  # the source was not asked
         hung = result == "timed_out" and hop.filling > 0 and self.fleet.usual_crowd(now) < SPILL
         if self.fleet.origin is not None and (hung or note in (FILLED_BY_ORIGIN, ORIGIN_FAILED)):
