A router that was stopped past a time limit answers nothing that was cancelled meanwhile

An answer past its time limit is now the business of its client's reader: it is put by where bytes lie unread in that socket, and goes out, or not, once the reader has worked them off (Outlet.answer, found, read_off).

Failed try: to look for unread bytes alone.

Found by it, in what stands since: Outlet.look polls and then puts the hop by; a reader that worked those bytes off in between looked at the list without the lock, found it empty, and the hop lay there until the client sent again. It now looks at a mark that is set before the poll. Forced by a poll that lets the reader go by; red before.

Client.unread uses now.looks_at. Two tests that began with the same lines share them; a test that was red once says what came instead.

--- a/fieldspur/lab/judge/check.py
+++ b/fieldspur/lab/judge/check.py
@@ -59,7 +59,7 @@
         self.violations: dict[int, list[str]] = {rule: [] for rule in range(1, 6)}
         self.counts: Counter = Counter()
         self.lag = 0
-        self.asleep: dict[int, int] = {}  # routers that a fault stopped: until when what they owe may be late
+        self.asleep: dict[int, int] = {}  # routers that a fault stopped: until when what they owe may be late; what was withdrawn is owed no more
 
     def broke(self, rule: int, text: str) -> None:
         self.counts[f"rule_{rule}"] += 1
@@ -84,7 +84,7 @@
         if one is None:
             self.broke(1, f"an answer to nobody, or a second one, on stream {stream}")
             return None
-        if at < self.asleep.get(getattr(conn, "router", -1), 0):
+        if at < self.asleep.get(getattr(conn, "router", -1), 0) and not one.withdrawn:
             return None
         if one.withdrawn:  # it may cross the withdrawal, no later
             if at - one.withdrawn > SLACK + OWN + self.lag:
--- a/fieldspur/net/now.py
+++ b/fieldspur/net/now.py
@@ -7,6 +7,7 @@
 import os
 import select
 import socket
+import sys
 
 FLAGS = socket.MSG_DONTWAIT | socket.MSG_NOSIGNAL
 AWAY = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the peer has closed or reset its side
@@ -20,6 +21,16 @@
     return poll
 
 
+def came(sock: socket.socket) -> int | None:
+    """How many bytes the peer of a TCP connection has sent, as the system counts (`tcpi_bytes_received` of tcp(7)'s TCP_INFO; the
+    peer's end counts as one); None where it does not tell."""
+    try:
+        told = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 136)
+    except (OSError, AttributeError):
+        return None
+    return int.from_bytes(told[128:136], sys.byteorder) if len(told) == 136 else None
+
+
 try:
     import ctypes
 
--- a/fieldspur/net/relay.py
+++ b/fieldspur/net/relay.py
@@ -9,7 +9,7 @@
 from collections import deque
 
 from fieldspur.net.book import Answer, Txn
-from fieldspur.net.now import AWAY, looks_at, write_now
+from fieldspur.net.now import AWAY, came, looks_at, write_now
 from fieldspur.site import MS
 
 log = logging.getLogger("fieldspur.relay")
@@ -33,39 +33,61 @@
         self.freed = None  # called, without the lock, once its descriptor is free
         self.idle_since = time.monotonic()
         self.hops: list = []  # that wait until its reader has worked off what lies in the socket
-        self.looks = looks_at(sock)  # for `look` alone, under the lock
+        self.late: list[tuple[int, tuple]] = []  # answers past their time limit that do so, by stream
+        self.asked = False  # somebody looks, or waits: set before each look, so that the reader of what it found sees it
+        self.worked_off = 0  # bytes, by its reader
+        self.looks = looks_at(sock)  # for `found` alone, under the lock
 
-    def look(self, hop) -> str:
+    def found(self, in_hand: bool = False) -> str:
         """What lies in the socket that its reader may not have come to: LEFT, a close or reset, also behind other bytes; UNREAD,
-        bytes, and the hop waits here until the reader has worked them off, once; else nothing. Both under the lock: bytes that lie
-        there now are read later, and `read_off` comes after that, so the hop is not forgotten here."""
+        bytes, with `in_hand` also such that the reader has read and not worked off, for it waits for its turn; else nothing. The
+        lock is held until who looks has put by what is to wait for the reader: it works off those bytes later, and then finds
+        `asked` set, and takes the lock."""
+        self.asked = True
+        found = [] if self.ended else self.looks.poll(0)
+        what = LEFT if self.ended or found and found[0][1] & AWAY else UNREAD if found else ""
+        if in_hand and not what and (came(self.sock) or 0) > self.worked_off:
+            what = UNREAD
+        self.asked = what == UNREAD or bool(self.hops or self.late)
+        return what
+
+    def look(self, hop) -> str:
+        """As `found`; with UNREAD the hop waits here until the reader has worked off what lies there, once."""
         with self.lock:  # whoever ends it gives its descriptor away, too
-            found = 0 if self.ended else self.looks.poll(0)
-            if not found:
-                return LEFT if found == 0 else ""
-            if found[0][1] & AWAY:
-                return LEFT
-            if hop.waited:
-                return ""
-            hop.waited = True
-            self.hops.append(hop)
-            return UNREAD
+            what = self.found()
+            if what == UNREAD:
+                if hop.waited:
+                    return ""
+                hop.waited = True
+                self.hops.append(hop)
+            return what
 
     def read_off(self) -> None:
         """Called by the reader, after each time that it has worked off what lay there."""
         with self.lock:
-            hops, self.hops = self.hops, []
+            hops, self.hops, late, self.late, self.asked = self.hops, [], self.late, [], False
+            for stream, data in late:
+                self.relay.hold(-sum(map(len, data)))
+                if self.streams.pop(stream, None) is not None:
+                    self.put(data)
         for hop in hops:
             hop.lane.again(hop)
 
-    def answer(self, stream: int, answer: Answer, cork: list | None = None) -> bool:
+    def answer(self, stream: int, answer: Answer, cork: list | None = None, late: bool = False) -> bool:
         """False where the client has withdrawn: taking the stream out is what gives the right to use it. With `cork` a
-        short answer waits for `uncork`, for which the outlet is put there."""
+        short answer waits for `uncork`, for which the outlet is put there. A `late` one guards against a process that was stopped
+        or had no core, and answers a client whose withdrawal lies unread: its reader goes first."""
         if len(answer.body) + self.relay.held > self.relay.most_held:
             self.relay.too_much += 1  # clients that do not read hold all memory for answers
             answer = Answer("aborted")
         data = self.encode(stream, answer)  # buffers; a long body as it lies in the server's connection
         with self.lock:  # both at once, or the connection might be closed in between as one that owes nothing
+            if late and (found := self.found(in_hand=True)):
+                if found == UNREAD:
+                    data = tuple(map(bytes, data))  # it lay in the server's connection
+                    self.relay.hold(sum(map(len, data)))
+                    self.late.append((stream, data))
+                return False
             if self.streams.pop(stream, None) is None:
                 return False
             if cork is None or len(data) > 1:
@@ -205,9 +227,9 @@
         return not self.held and not self.owing
 
     def answer(self, txn: Txn, answer: Answer, cork: list | None = None) -> None:
-        if not txn.outlet.answer(txn.stream, answer, cork):
-            return
         now = time.time_ns()
+        if not txn.outlet.answer(txn.stream, answer, cork, now > txn.limit_at):
+            return
         if now - txn.limit_at > OVERDUE:
             log.warning("overdue", extra={"kv": {
                 "txn": txn.ident, "word": answer.word, "late_ms": (now - txn.limit_at) // MS, "hops": txn.hops,
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -69,6 +69,7 @@
         try:
             while size := self.sock.recv_into(decoder.window.view if self.failed or self.outlet.shut_at else decoder.window.room()):
                 if self.failed or self.outlet.shut_at:  # only to see its end, or what it was told might be lost in a reset
+                    self.outlet.worked_off += size
                     after += size
                     if after > MOST_AFTER and not self.outlet.streams:
                         break
@@ -88,13 +89,14 @@
                 except frames.BadFrame as bad:
                     self.fail(str(bad))
                 finally:
+                    self.outlet.worked_off += size
                     # What lies behind may take back what was just read; guards against an attempt begun for what is cancelled
                     # already. A few reads, for others wait meanwhile.
                     behind = behind + 1 if found and taken and behind < MOST_BEHIND and not self.failed else 0
                     if not behind:
                         taken = False
                         self.takein.route.handle()
-                        if self.outlet.hops:
+                        if self.outlet.asked:
                             self.outlet.read_off()
         except OSError:
             pass  # reset: as if it had closed
@@ -138,11 +140,7 @@
     def unread(self) -> bool:
         """Guards against a process that was stopped: what came meanwhile lies unread, and the look at idle connections may have its
         turn before their readers. A request there is owed its answer."""
-        if self.sock.fileno() < 0:
-            return False
-        poll = select.poll()
-        poll.register(self.sock, select.POLLIN)
-        return any(event == select.POLLIN for _, event in poll.poll(0))
+        return self.sock.fileno() >= 0 and any(event == select.POLLIN for _, event in looks_at(self.sock).poll(0))
 
     def overdue(self, now: float) -> str:
         """Why it is to be closed now, if it is."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,7 +16,7 @@
 from fieldspur.net.book import Answer, Book, Txn
 from fieldspur.net.lane import Hop, Lane
 from fieldspur.net.now import looks_at
-from fieldspur.net.relay import LEFT, Outlet, Relay
+from fieldspur.net.relay import LEFT, UNREAD, Outlet, Relay
 from fieldspur.net.send import LOOK_CLIENT
 from fieldspur.net.takein import TakeIn, encode
 from fieldspur.decide import MS, SECOND
@@ -44,6 +44,16 @@
     return Hop(ident, 0, txn.name, "c0", None, want, now)
 
 
+def connected(run):
+    """A service whose one connection to its cache stands, and two clients of it."""
+    cache = Cache(lambda want: None)
+    service = run(cache)
+    client, other = service.client(), service.client()
+    other.ask(98)
+    until(lambda: cache.wants)
+    return cache, service, client, other
+
+
 def stays(send):
     """The outlet of a client that stays."""
     here, there = pair()
@@ -161,14 +171,75 @@
     takein.listener.close()
 
 
+def test_an_attempt_put_by_in_the_moment_in_which_its_reader_has_worked_off_the_bytes_is_not_forgotten(monkeypatch):
+    """The look has found bytes, and the reader is back in its wait before the attempt is put by."""
+    takein, again = entered(), []
+    there = joins(takein)
+    client = next(iter(takein.clients))
+
+    class Found:
+        def poll(self, wait):
+            there.sock.sendall(b"\0\0\0")  # half a frame: nothing in it waits for the look's lock
+            until(lambda: client.held)
+            time.sleep(0.1)  # longer than a reader takes back to its wait; what holds does not lean on it
+            return [(client.sock.fileno(), select.POLLIN)]
+
+    monkeypatch.setattr(client.outlet, "looks", Found())
+    hop = SimpleNamespace(waited=False, lane=SimpleNamespace(again=again.append))
+    assert client.outlet.look(hop) == UNREAD
+    until(lambda: again == [hop], limit=2)
+    takein.listener.close()
+
+
+@pytest.mark.parametrize("lies", ["unread", "in its reader's hand"])
+@pytest.mark.parametrize("unread", ["its cancel", "another frame"])
+def test_an_answer_past_its_time_limit_waits_for_what_its_client_has_sent(unread, lies):
+    """The process was stopped, or had no core: server's answer, client's cancel and time limit have all come."""
+    here, there = pair()
+    relay = Relay(1 << 20)
+    outlet = Outlet(here, encode, relay)
+    txn = Txn(5, "%016x" % 5, 0, "media", "a" * 16, 0, 1, 1.0, None, None, b"", 0, time.time_ns() - 100 * MS, outlet, 1)
+    assert outlet.open(1, 5)
+    there.sendall(b"\0\0\0\5C\0\0\0\1")
+    select.select([here], [], [])
+    if lies == "in its reader's hand":
+        here.recv(100)
+    relay.answer(txn, Answer("completed", body=memoryview(b"x" * 70_000)))
+    assert not select.select([there], [], [], 0)[0] and relay.held > 70_000 and outlet.streams
+    outlet.worked_off += 9  # its reader has its turn
+    if lies == "unread":
+        here.recv(100)
+    if unread == "its cancel":
+        del outlet.streams[1]
+    outlet.read_off()
+    assert bool(select.select([there], [], [], 0)[0]) == (unread != "its cancel")
+    assert not relay.held and not outlet.streams and not outlet.late
+    here.close(), there.close()
+
+
+def test_a_router_that_was_stopped_past_a_time_limit_answers_nothing_that_was_cancelled_meanwhile(run):
+    """Its timers, its servers' answers and the cancels are all there as it goes on; whoever has the core first."""
+    cache, service, client, other = connected(run)
+    for stream in range(1, 9):
+        client.ask(stream, limit="400")
+    until(lambda: len(cache.wants) == 9)
+    pause(service.process)
+    time.sleep(0.5)
+    for stream in range(1, 5):
+        cache.answer("%016x" % stream, *ACK)  # first, so its reader is woken first
+    for stream in range(1, 9):
+        client.send(67, stream)
+    client.send(80, 1 << 30, b"\0")  # whether it is ready; read after the cancels
+    os.kill(service.process.pid, signal.SIGCONT)
+    assert client.get()[:2] == (81, 1 << 30)
+    client.sock.shutdown(socket.SHUT_WR)
+    assert client.get() is None
+
+
 @pytest.mark.parametrize("together", [1, 32])
 def test_requests_of_a_client_that_has_closed_already_are_not_sent_on(run, together):
     """Sent and gone while the router was stopped: on its return, the close lies behind the requests."""
-    cache = Cache(lambda want: None)
-    service = run(cache)
-    client, other = service.client(), service.client()
-    other.ask(98)  # so the connection to the cache stands
-    until(lambda: cache.wants)
+    cache, service, client, other = connected(run)
     pause(service.process)
     for stream in range(1, together + 1):
         client.ask(stream)
@@ -184,11 +255,7 @@
 
 def test_a_request_whose_cancel_lies_right_behind_it_is_not_sent_on(run):
     """It is longer than one read, so the cancel comes with the next: both lay there when the router was continued."""
-    cache = Cache(lambda want: None)
-    service = run(cache)
-    client, other = service.client(), service.client()
-    other.ask(98)  # so the connection to the cache stands
-    until(lambda: cache.wants)
+    cache, service, client, other = connected(run)
     pause(service.process)
     client.ask(1, b"w" * 48_000, verb="checkout", unique="k1")
     client.send(67, 1)
@@ -443,7 +510,8 @@
     while time.monotonic() - began < 1:
         time.sleep(0.01)
     client.ask(2, limit="5000", ram="5600")
-    until(lambda: len(cache.wants) == 2)
+    until(lambda: len(cache.wants) == 2 or select.select([client.sock], [], [], 0)[0])
+    assert len(cache.wants) == 2, client.get()
     assert {client.get()[1:3] for _ in range(2)} == {(1, 66), (2, 66)} and time.monotonic() - began < 3.7
     assert client.get() is None and service.process.wait(20) == 0
 
