A txn's next hop goes out only once the server before has been told, also by a full socket

Seen by reading (open row of docs/design/crossings.md): a hop whose bytes lie before a server that takes nothing is given up; the word waited in the router's queue for room, the next hop went to another server at once. When the first server reads on it has that hop whole, and for as long as the word needs from here both are out (rule: one hop outstanding at a time). Forced: the second server had the txn before the first was told.

Lane.drop puts words into a queue of their own. Where the system has no room either, Send.begin puts the next hop by (untold, behind) until the word is out or the connection has ended, which gives up all that was open on it. What was never written needs no word, and hops to the same connection keep their order anyway. The rest of a message that was begun belongs to the lane (left, cut), no longer to its thread's arguments, for words may be begun by others while that thread waits for room.

Tests red with the gate, the mark or the release at the end taken out. Ruled out: closing the connection at once, which gives up what others have open there.

--- a/fieldspur/net/lane.py
+++ b/fieldspur/net/lane.py
@@ -60,7 +60,11 @@
 
     def __init__(self, send: Send, server: str, address: tuple[str, int]):
         self.send, self.server, self.address = send, server, address
-        self.queue: deque = deque()  # hops, and names of those given up, to be written; bounded by the hops open here
+        self.queue: deque = deque()  # hops to be written; bounded by the hops open here
+        self.words: deque = deque()  # hops given up, of which the server is to be told first
+        self.saying: list[Hop] = []  # those of which a word has begun, and the rest is in `left`
+        self.left: list = []  # of what has begun and the socket did not take; nothing else is written before
+        self.cut: Hop | None = None  # the hop that `left` belongs to
         self.open: dict[str, Hop] = {}
         self.used: dict[str, int] = {}  # names that must not be used again, for a further answer may come: of
         # one given up on by nobody, of one answered by no other txn
@@ -112,13 +116,14 @@
             if self.heard < hop.written and now - hop.written > self.send.site.connect_timeout:
                 self.retired = True
             if hop.want is not None:
-                self.queue.append((hop,))
+                self.send.untold[hop.ident] = hop
+                self.words.append(hop)
             if self.retired and not self.open:
                 self.shut()  # its thread may wait for ever, a writer be held up
 
     def sift(self) -> None:
         """Hops that wait here and may not go out any more are taken back at once: they never ran."""
-        for hop in [item for item in list(self.queue) if type(item) is Hop and self.send.stale(item, time.time_ns())]:
+        for hop in [hop for hop in list(self.queue) if self.send.stale(hop, time.time_ns())]:
             try:
                 self.queue.remove(hop)
             except ValueError:
@@ -127,20 +132,50 @@
 
     def pump(self) -> None:
         """Write what waits here. Whoever finds another at it leaves: that one looks again before it goes."""
-        while self.queue and self.ready and not self.draining:
+        while self.ready and not self.left and (self.words or self.queue and not self.draining):
             if not self.writing.acquire(False):
                 return
             try:
-                left, cut, full = self.write()
-                if full:
+                full = False
+                if self.left:
+                    continue  # begun by another since the look
+                if self.words:
+                    full = self.say()
+                elif not self.draining:
+                    self.left, self.cut, full = self.write()
+                if full and not self.draining:
                     self.draining = True
-                    threading.Thread(target=self.drain, args=(left, cut), name="lane-rest", daemon=True).start()
+                    threading.Thread(target=self.drain, name="lane-rest", daemon=True).start()
             except (OSError, RuntimeError, ValueError):  # broken, closed, or the system gives no further thread
                 self.shut()
                 return
             finally:
                 self.writing.release()
 
+    def say(self) -> bool:
+        """Tells the server what was given up; whether something is left. Guards against a server that reads on after it took nothing
+        for a while, finds a hop that was given up, and its end behind what waits for room here, while the next attempt is out
+        elsewhere: past the mark the words lie right behind that hop."""
+        hops = []
+        while self.words:
+            hops.append(self.words.popleft())
+        data = b"".join([resp.never_mind(hop.name) for hop in hops if hop.written])  # others never went out
+        left = write_now(self.sock, (data,)) if data else ()
+        if left:
+            self.past = True
+            keep_little(self.sock, ANY)
+            left = write_now(self.sock, left)
+            keep_little(self.sock)
+        self.left, self.saying = left, hops
+        if not left:
+            self.told()
+        return bool(left)
+
+    def told(self) -> None:
+        hops, self.saying = self.saying, []
+        for hop in hops:
+            self.send.told(hop)
+
     def write(self) -> tuple[list, Hop | None, bool]:
         """One write of what waits: what is left of a message that was cut, its hop, and whether the socket is full.
         Messages of which no byte went out wait here again, and are looked at again before they go."""
@@ -148,7 +183,7 @@
             if not self.poll().poll(0):
                 return [], None, True
             self.past = False
-        if len(self.queue) == 1 and type(self.queue[0]) is Hop and self.queue[0].want is not None:
+        if len(self.queue) == 1 and self.queue[0].want is not None:
             hop = self.queue.popleft()  # the ordinary case of what follows
             if not self.send.begin(hop):
                 return (), None, False
@@ -161,12 +196,9 @@
             return self.put_back([(hop, data)], left) if left else ((), None, False)
         messages = []
         while self.queue and len(messages) < MOST_AT_ONCE:
-            item = self.queue.popleft()
-            if type(item) is tuple:
-                if item[0].written:  # else it never went out
-                    messages.append((item, (resp.never_mind(item[0].name),)))
-            elif self.send.begin(item):
-                messages.append((item, resp.want(item.want) if item.want else (resp.probe(item.name),)))
+            hop = self.queue.popleft()
+            if self.send.begin(hop):
+                messages.append((hop, resp.want(hop.want) if hop.want else (resp.probe(hop.name),)))
         if not messages:
             return (), None, False
         data = [piece for _, pieces in messages for piece in pieces]
@@ -175,9 +207,8 @@
                 data = (b"".join(data),)
             left = write_now(self.sock, data)
         except OSError:
-            for item, _ in messages:
-                if type(item) is Hop:
-                    item.written = 0  # nothing of this write went out: it never ran
+            for hop, _ in messages:
+                hop.written = 0  # nothing of this write went out: it never ran
             raise
         return self.put_back(messages, left) if left else ((), None, False)
 
@@ -186,13 +217,12 @@
         full socket. So much is left of these messages; all that have not begun wait again, in their order."""
         size = sum(map(len, left))
         while messages:
-            item, pieces = messages.pop()
+            hop, pieces = messages.pop()
             mine = sum(map(len, pieces))
             if size < mine:
-                return self.rest([b"".join(pieces)[mine - size:]] if size else [], item if type(item) is Hop else None)
-            if type(item) is Hop:
-                item.written = 0
-            self.queue.appendleft(item)
+                return self.rest([b"".join(pieces)[mine - size:]] if size else [], hop)
+            hop.written = 0
+            self.queue.appendleft(hop)
             size -= mine
         return [], None, True
 
@@ -226,25 +256,30 @@
                 return False
         return not self.closed
 
-    def drain(self, left: list, cut: Hop | None) -> None:
+    def drain(self) -> None:
         """Guards against a server that reads slowly: this thread waits for it, and nobody else does."""
         try:
             while True:
-                if left:
+                if self.left:
+                    cut = self.cut
                     keep_little(self.sock, ANY)
-                    self.finish(left, cut.go_by if cut is not None and cut.number and cut.want.key else NEVER)
+                    self.finish(list(self.left), cut.go_by if cut is not None and cut.number and cut.want.key else NEVER)
                     keep_little(self.sock)
-                cut = None
+                    self.told()  # before others may say something
+                    self.left, self.cut = [], None
+                    self.pump()  # words that came meanwhile
                 if not self.room():
                     raise OSError("ended")
                 with self.writing:
+                    if self.left:
+                        continue  # of words that others have begun
                     if not self.queue or self.closed:
                         self.draining = False
                         break
-                    left, cut, _ = self.write()
+                    self.left, self.cut, _ = self.write()
         except (OSError, ValueError):
-            if cut is not None:
-                cut.written = 0  # not whole: it never ran
+            if self.cut is not None:
+                self.cut.written = 0  # not whole: it never ran
             self.shut()
         self.pump()  # what came between the look and the end of `draining`
 
@@ -357,7 +392,10 @@
         self.send.lane_ended(self)
         self.writing.acquire()  # a write under way uses the descriptor; none waits in there
         self.sock.close()
+        self.saying.extend(self.words)
+        self.words.clear()
         self.writing.release()
+        self.told()  # by its end
         if any(hop.written for hop in hops):
             self.send.broke = time.time_ns()
         for hop in hops:
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -34,6 +34,9 @@
         self.lock = threading.Lock()
         self.lanes: dict[str, list[Lane]] = {}
         self.servers: dict[str, tuple[tuple[str, int], str]] = {}  # addresses and states as listed
+        # One hop outstanding at a time: by txn, the one given up of which its server was not told yet, and the next, which waits.
+        self.untold: dict[int, Hop] = {}
+        self.behind: dict[int, Hop] = {}
 
     def listed(self, name: str, address: tuple[str, int], state: str) -> None:
         if state == "gone":  # forgotten, and with it where it was
@@ -152,6 +155,9 @@
         with self.lock:
             if hop.ended:
                 return False  # its name was taken out of the lane by who gave it up
+            if hop.ident in self.untold and self.untold[hop.ident].lane is not hop.lane:
+                self.behind[hop.ident] = hop
+                return False
             if not self.stale(hop, now):
                 hop.written = now
                 return True
@@ -171,6 +177,15 @@
             hop.lane.drop(hop, now)
         return True
 
+    def told(self, hop: Hop) -> None:
+        """The server was told that the hop is given up, or the connection has ended: the txn's next may go."""
+        with self.lock:
+            if self.untold.get(hop.ident) is hop:
+                del self.untold[hop.ident]
+            after = self.behind.pop(hop.ident, None)
+        if after is not None:
+            after.lane.again(after)
+
     def ended(self, hop: Hop, result: str) -> None:
         if self.claim(hop):
             self.report(hop, result)
--- a/tests/test_first_bytes.py
+++ b/tests/test_first_bytes.py
@@ -104,6 +104,67 @@
     return lane, hops
 
 
+def next_of(one):
+    """The txn's next hop, to another server."""
+    further = hop(one.ident, name=one.name)
+    further.number, further.server = 1, "c1"
+    return further
+
+
+@pytest.mark.parametrize("then", ["reads on", "ends"])
+def test_the_next_hop_waits_until_a_server_with_a_full_socket_can_be_told_that_the_one_before_is_given_up(then):
+    """Of the first hop a part is there. One hop outstanding at a time: its rest and its end go out before the next one does."""
+    cache, other = Stalled(), Cache(lambda want: None)
+    send = sender(cache.address)
+    send.listed("c1", (other.address.split(":")[0], int(other.address.split(":")[1])), "up")
+    lane, hops = fill(send, cache)
+    cut = lane.cut
+    assert lane.left and cut.written
+    free = next(one for one in hops if not one.written)  # never went out: nobody need be told
+    for one in (cut, free):
+        assert send.give_up(one, time.time_ns())
+    lane.pump()
+    for one in (free, cut):
+        go(send, next_of(one))
+    until(lambda: other.wants)
+    assert [want["id"] for want in other.wants] == [free.name] and not send.behind[cut.ident].written
+    if then == "ends":
+        lane.shut()
+    cache.go_on.set()
+    until(lambda: len(other.wants) == 2)
+    assert other.wants[1]["id"] == cut.name and not send.untold and not send.behind
+    if then == "reads on":
+        until(lambda: cache.given_up == [cut.name])
+        assert cut.name in [want["id"] for want in cache.wants]
+
+
+def test_a_server_that_takes_nothing_more_is_told_at_once_where_the_system_has_room():
+    """Beyond what is kept back in the router so that it may be taken back, the system holds some more: for words of three lines."""
+    cache, other = Stalled(), Cache(lambda want: None)
+    send = sender(cache.address)
+    send.listed("c1", (other.address.split(":")[0], int(other.address.split(":")[1])), "up")
+    first = hop(1)
+    lane = go(send, first)
+    until(lambda: send.route.posted)
+    cache.go_on.clear()
+    hops = [hop(n, body=b"w" * 2000) for n in range(2, 3000)]
+    for one in hops:
+        if lane.draining:
+            break
+        go(send, one)
+    last = [one for one in hops if one.written][-1]
+    assert lane.draining and not lane.left
+    assert send.give_up(last, time.time_ns())
+    lane.pump()
+    assert not lane.words and not send.untold and lane.draining
+    go(send, next_of(last))
+    until(lambda: other.wants)
+    assert not cache.given_up
+    cache.go_on.set()
+    until(lambda: cache.given_up == [last.name])
+    assert last.name in [want["id"] for want in cache.wants]
+
+
 CHANGES = {
     "draining": lambda send: send.listed("c0", send.servers["c0"][0], "draining"),
     "gone": lambda send: send.listed("c0", ("", 0), "gone"),
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -330,7 +330,7 @@
     hops = {}
 
     class Taking:
-        def answer(self, stream, answer, cork=None):
+        def answer(self, stream, answer, cork=None, late=False):
             if streams.pop(stream, None) is None:
                 return False
             answered.setdefault(stream, []).append(answer.word)
