A word that meets a reset holds up the txn's next hop no more

Lane.say took the words out of their queue before it wrote them; a write that met the server's reset raised, and Lane.end found neither the words nor those being said. They are in 'saying' now before the write. The test forces the word to meet the reset before the connection's reader does; red before.

--- a/fieldspur/net/lane.py
+++ b/fieldspur/net/lane.py
@@ -156,17 +156,16 @@
         """Tells the server what was given up; whether something is left. Guards against a server that reads on after it took nothing
         for a while, finds a hop that was given up, and its end behind what waits for room here, while the next attempt is out
         elsewhere: past the mark the words lie right behind that hop."""
-        hops = []
         while self.words:
-            hops.append(self.words.popleft())
-        data = b"".join([resp.never_mind(hop.name) for hop in hops if hop.written])  # others never went out
+            self.saying.append(self.words.popleft())
+        data = b"".join([resp.never_mind(hop.name) for hop in self.saying if hop.written])  # others never went out
         left = write_now(self.sock, (data,)) if data else ()
         if left:
             self.past = True
             keep_little(self.sock, ANY)
             left = write_now(self.sock, left)
             keep_little(self.sock)
-        self.left, self.saying = left, hops
+        self.left = left
         if not left:
             self.told()
         return bool(left)
--- a/tests/test_first_bytes.py
+++ b/tests/test_first_bytes.py
@@ -1,5 +1,6 @@
 """No hop begins to go out on word that is older than the board's: at a start, in queues, in sockets, over a pause."""
 
+import select
 import signal
 import socket
 import threading
@@ -11,7 +12,8 @@
 from fieldspur.net.board import Board, ListChange, Listed
 from fieldspur.net import resp
 from fieldspur.net.route import MOST_QUEUED, Route
-from fieldspur.net.lane import Hop
+from fieldspur.net.lane import Hop, Lane
+from fieldspur.net.now import looks_at
 from fieldspur.site import MS
 from helpers import Cache, Listener, Notices, Stalled, endpoint, sender, until
 from test_path import go, want
@@ -138,6 +140,26 @@
         assert cut.name in [want["id"] for want in cache.wants]
 
 
+def test_a_server_that_has_reset_its_connection_and_can_t_be_told_holds_up_nothing(monkeypatch):
+    """Found on roll+brink and split+brink: the word met the reset before the connection's reader did, and the next hop waited for ever."""
+    reading, held = Lane.read, threading.Event()
+    monkeypatch.setattr(Lane, "read", lambda lane: (held.wait(10), reading(lane)))
+    cache, other = Cache(lambda want: None), Cache(lambda want: None)
+    send = sender(cache.address)
+    send.listed("c1", (other.address.split(":")[0], int(other.address.split(":")[1])), "up")
+    one = hop(1)
+    lane = go(send, one)
+    until(lambda: cache.wants)
+    cache.reset()
+    until(lambda: any(event & select.POLLHUP for _, event in looks_at(lane.sock).poll(0)))
+    assert send.give_up(one, time.time_ns())
+    lane.pump()
+    go(send, next_of(one))
+    held.set()
+    until(lambda: other.wants, limit=5)
+    assert not send.untold and not send.behind
+
+
 def test_a_server_that_takes_nothing_more_is_told_at_once_where_the_system_has_room():
     """Beyond what is kept back in the router so that it may be taken back, the system holds some more: for words of three lines."""
     cache, other = Stalled(), Cache(lambda want: None)
