The guard of the ordinary path gives one verdict beside other load, too

A body of 240 KB comes in more pieces when the machine is busy, so load only ever adds. The guard counts up to four times until a count is within its limit, and names what is above it each time; a real further call is in each count.

--- a/fieldspur/bench/count.py
+++ b/fieldspur/bench/count.py
@@ -25,6 +25,7 @@
 LIMITS = Path(__file__).with_name("limits.json")
 OTHERS = ("watch", "counts", "board")  # threads that work by time and not by txn
 SIZES = {"pages": 2048, "media": 240_000}
+TRIES = 4  # until a count is within its limit
 HERE = str(ROOT / "fieldspur")
 NOT = str(ROOT / "fieldspur" / "bench")
 
@@ -201,9 +202,18 @@
 
 
 def guard(rules: tuple = tuple(SIZES), path: Path = LIMITS) -> dict[str, list[str]]:
-    """Rules whose txn takes more than it may, and what of."""
-    limits = json.loads(path.read_text())
-    return {rule: lines for rule in rules if (lines := passed(counts(rule), limits[rule]))}
+    """Rules whose txn takes more than it may, and what of. A count is named that is above its limit each time: beside other
+    load a long body comes in more pieces (99 calls a txn alone, up to 111 so), which only ever adds."""
+    limits, found = json.loads(path.read_text()), {}
+    for rule in rules:
+        least = counts(rule)
+        for _ in range(TRIES - 1):
+            if not passed(least, limits[rule]):
+                break
+            least = {name: min(value, more) for (name, value), more in zip(least.items(), counts(rule).values())}
+        if lines := passed(least, limits[rule]):
+            found[rule] = lines
+    return found
 
 
 if __name__ == "__main__":
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -478,6 +478,14 @@
     assert count.passed({"calls": 90, "reads": 2}, {"calls": 80, "reads": 2}) == ["calls: 90 a txn, 80 allowed"]
 
 
+@pytest.mark.parametrize("calls, named", [((111, 105, 99), []), ((101, 101, 101, 101), ["calls: 101 a txn, 100 allowed"])])
+def test_what_else_runs_on_the_machine_names_no_count_and_a_real_one_is_named_each_time(monkeypatch, tmp_path, calls, named):
+    left = list(calls)
+    monkeypatch.setattr(count, "counts", lambda rule: {"calls": left.pop(0), "reads": 6})
+    (tmp_path / "limits").write_text('{"media": {"calls": 100, "reads": 6}}')
+    assert count.guard(("media",), tmp_path / "limits").get("media", []) == named and not left
+
+
 # A start.
 
 def test_a_start_loads_what_it_needs_and_compiles_nothing():
