Time goes by a clock that nobody sets: a step of minutes moved every limit and timer

Set back by 300 s: a txn at a server that hangs never got its answer, and with three routers that of the one set back served nothing for as long as the test looked (270 answers before and after 2 s, others 290 more each). Set forth: all that came was refused, for the Router believed itself 300 s behind. Agreement and leases held, they go by CLOCK_BOOTTIME.

net/route, lane, send, relay, takein and __main__ read time.time_ns(). They read time.monotonic_ns() + EPOCH now, Unix ns as of the start, so nothing else changes and tests' figures stay; written out, for a function would be 8 of the 95 calls that a txn may take. Unix times from outside (a purge's, a server's start) are turned into it as they come. A server told again keeps its start; one that began by more than its warm span in this router's future counts from when it was told (an order never ended, its machine cold for 300 s).

--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -15,6 +15,7 @@
 from fieldspur.net.admit import Admit
 from fieldspur.net.board import Board
 from fieldspur.net.book import Book
+from fieldspur.net.now import EPOCH
 from fieldspur.net.relay import Relay
 from fieldspur.net.route import Route
 from fieldspur.net.send import Send
@@ -80,7 +81,7 @@
         # where restarted routers named a draining parent before they had asked the board. Bounded, so a router without
         # a board starts; txns that come meanwhile wait at the gate, or are turned away in time.
         wait = self.wishes.start.board_wait_s
-        self.route.gate = Gate(time.time_ns(), int(wait * 1e9), self.wishes.start.most_waiting)
+        self.route.gate = Gate(time.monotonic_ns() + EPOCH, int(wait * 1e9), self.wishes.start.most_waiting)
         for name, run in (("board", self.board.run), ("route", self.route.run),
                           ("takein", self.takein.run), ("watch", self.takein.watch), ("counts", self.tell)):
             threading.stack_size(DEEP_STACK if name == "board" else STACK)
@@ -160,7 +161,7 @@
         time.sleep(STILL_COMING)
         self.takein.close()
         left = min(self.longest, KILLED_AFTER) - BEFORE_IT
-        self.takein.admit.ends_at = time.time_ns() + int(left * 1e9)
+        self.takein.admit.ends_at = time.monotonic_ns() + EPOCH + int(left * 1e9)
         while (took := time.monotonic() - began) < self.longest + STILL_COMING:
             late = took > STILL_COMING + left
             if late and self.book.open:
--- a/fieldspur/net/lane.py
+++ b/fieldspur/net/lane.py
@@ -11,7 +11,7 @@
 from collections import deque
 
 from fieldspur.net import resp
-from fieldspur.net.now import AWAY, looks_at, write_now
+from fieldspur.net.now import AWAY, EPOCH, looks_at, write_now
 from fieldspur.net.wheel import NEVER
 from fieldspur.record import record
 from fieldspur.site import MS, US
@@ -123,7 +123,7 @@
 
     def sift(self) -> None:
         """Hops that wait here and may not go out any more are taken back at once: they never ran."""
-        for hop in [hop for hop in list(self.queue) if self.send.stale(hop, time.time_ns())]:
+        for hop in [hop for hop in list(self.queue) if self.send.stale(hop, time.monotonic_ns() + EPOCH)]:
             try:
                 self.queue.remove(hop)
             except ValueError:
@@ -289,7 +289,7 @@
             if go_by == NEVER:
                 self.sock.sendall(left.pop(0))
                 continue
-            wait = (go_by - time.time_ns()) // MS
+            wait = (go_by - (time.monotonic_ns() + EPOCH)) // MS
             if wait <= 0 or not self.poll().poll(wait):
                 raise OSError("not out in time")
             left = write_now(self.sock, left)
@@ -314,7 +314,7 @@
             keep_little(self.sock)
         except OSError:  # not established
             return self.end("unreachable")
-        self.heard = time.time_ns()
+        self.heard = time.monotonic_ns() + EPOCH
         self.ready = True
         self.pump()
         self.read()
@@ -324,7 +324,7 @@
         with self.lock:
             self.closed |= not self.open and not self.queue and (
                 self.retired or self.server not in self.send.servers
-                or time.time_ns() - self.heard > self.send.site.idle_close * 0.75)
+                or time.monotonic_ns() + EPOCH - self.heard > self.send.site.idle_close * 0.75)
             if self.closed:
                 self.shut()
 
@@ -354,7 +354,7 @@
     def replies(self, decoder: resp.Decoder, size: int) -> None:
         """All that one read brought. Answers to one client go out in one write, and the Router hears of them together."""
         send, window, cork = self.send, decoder.window, []
-        self.heard = now = time.time_ns()
+        self.heard = now = time.monotonic_ns() + EPOCH
         send.route.gather()
         try:
             for reply in decoder.filled(size):
@@ -396,6 +396,6 @@
         self.writing.release()
         self.told()  # by its end
         if any(hop.written for hop in hops):
-            self.send.broke = time.time_ns()
+            self.send.broke = time.monotonic_ns() + EPOCH
         for hop in hops:
             self.send.ended(hop, "broken" if hop.written else unwritten)
--- a/fieldspur/net/relay.py
+++ b/fieldspur/net/relay.py
@@ -9,7 +9,7 @@
 from collections import deque
 
 from fieldspur.net.book import Answer, Txn
-from fieldspur.net.now import AWAY, came, looks_at, write_now
+from fieldspur.net.now import AWAY, EPOCH, came, looks_at, write_now
 from fieldspur.site import MS
 
 log = logging.getLogger("fieldspur.relay")
@@ -227,7 +227,7 @@
         return not self.held and not self.owing
 
     def answer(self, txn: Txn, answer: Answer, cork: list | None = None) -> None:
-        now = time.time_ns()
+        now = time.monotonic_ns() + EPOCH
         if not txn.outlet.answer(txn.stream, answer, cork, now > txn.limit_at):
             return
         if now - txn.limit_at > OVERDUE:
--- a/fieldspur/net/route.py
+++ b/fieldspur/net/route.py
@@ -15,6 +15,7 @@
 from fieldspur.net.book import Answer, Book, Txn
 from fieldspur.net.holds import holds
 from fieldspur.net.lane import Hop
+from fieldspur.net.now import EPOCH, of_unix
 from fieldspur.net.relay import Relay
 from fieldspur.net.send import Send
 from fieldspur.net.wheel import NEVER, Wheel
@@ -48,8 +49,9 @@
         self.bell = threading.Lock()
         self.bell.acquire()
         self.order = itertools.count()
+        self.starts: dict[str, tuple[int, int]] = {}  # of servers: as told, and by this process' clock
         self.hops: dict[tuple[int, int], Hop] = {}  # out, by the Router's numbers
-        self.clock = time.time_ns()
+        self.clock = time.monotonic_ns() + EPOCH
         self.lag = 0  # longest that an event or timer waited since the last look
         self.behind = 0  # the same, fading: how late this thread now is
         self.faded = self.clock
@@ -63,7 +65,7 @@
     def post(self, what, *about) -> None:
         """Whoever has an event posts it, and handles it and what else waits unless another thread is at that. That one
         looks again before it goes, so nothing is left and nobody waits for the lock."""
-        self.queue.append((what, about, time.time_ns()))
+        self.queue.append((what, about, time.monotonic_ns() + EPOCH))
         if not self.mine.busy:
             self.work()
 
@@ -92,7 +94,7 @@
                     self.caller = me = threading.get_ident()
                     left = AT_ONCE
                     while left:
-                        self.clock = now = time.time_ns()
+                        self.clock = now = time.monotonic_ns() + EPOCH
                         if now >= self.soonest:
                             self.tick()
                         if not queue:
@@ -132,10 +134,10 @@
 
     def tick(self) -> None:
         """All timers that are due, by exact time; cuts first, for each is a final answer's last moment."""
-        self.clock = now = time.time_ns()
+        self.clock = now = time.monotonic_ns() + EPOCH
         due = self.wheel.due(now)
         for at, (ident, number) in due:
-            self.clock = time.time_ns()
+            self.clock = time.monotonic_ns() + EPOCH
             self.waited(self.clock - at)
             if ident == ALARM:
                 self.wakes.pop(number, None)
@@ -152,7 +154,7 @@
         """The thread of the timers, and of what others leave."""
         while True:
             self.asleep = True  # before the look: who sets an earlier timer from now on rings
-            left = self.soonest - time.time_ns()
+            left = self.soonest - (time.monotonic_ns() + EPOCH)
             if left > 0 and not self.queue:
                 self.bell.acquire(timeout=min(left / 1e9, LONGEST))
             self.asleep = False
@@ -271,7 +273,7 @@
         if now:
             self.list_changed(change.complete, rows)
         else:
-            self.queue.append((self.list_changed, (change.complete, rows), time.time_ns()))
+            self.queue.append((self.list_changed, (change.complete, rows), time.monotonic_ns() + EPOCH))
         for s in rows:
             if s.state != "up":
                 self.sender.listed(s.name, s.address, s.state)
@@ -286,21 +288,33 @@
         fleet, site = self.router.fleet, self.site
         fleet.list_begins(complete)
         for s in rows:
-            fleet.server_listed(s.name, s.state, s.started, site.zones.index(s.zone), s.rating,
+            fleet.server_listed(s.name, s.state, self.started(s), site.zones.index(s.zone), s.rating,
                                 site.kinds.index(s.kind), s.cell)
         fleet.list_ends()
 
+    def started(self, s) -> int:
+        """When a server started, by this process' clock; one that is told again has not started again, whoever set a clock meanwhile."""
+        told, at = self.starts.pop(s.name, (0, 0))
+        if s.started != told:
+            at = of_unix(s.started) if s.started else 0
+            fleet = self.router.fleet
+            if at - self.clock > fleet.cold[self.site.kinds.index(s.kind) == fleet.parent_kind][2]:
+                at = self.clock  # clocks differ by more than it is cold for; guards against a server that is cold for as long
+        if s.state != "gone":
+            self.starts[s.name] = s.started, at
+        return at
+
     def purge_told(self, purge: Purge, now: bool = False) -> None:
         if now:
             return self.purged(purge)
-        self.queue.append((self.purged, (purge,), time.time_ns()))
+        self.queue.append((self.purged, (purge,), time.monotonic_ns() + EPOCH))
         self.sender.purge_told(purge.obj, purge.group)
         if not self.mine.busy:
             self.work()
 
     def purged(self, purge: Purge) -> None:
         self.purges += 1
-        self.router.purged(purge.obj, purge.group, max(0, self.clock - purge.at))
+        self.router.purged(purge.obj, purge.group, max(0, self.clock - of_unix(purge.at)))
 
     # The host interface.
 
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -10,6 +10,7 @@
 from fieldspur.net import resp
 from fieldspur.net.book import Answer, Book
 from fieldspur.net.lane import Hop, Lane
+from fieldspur.net.now import EPOCH
 from fieldspur.net.relay import LEFT, UNREAD, Relay
 from fieldspur.site import MS, Deployment
 
@@ -67,7 +68,7 @@
             lanes = self.lanes.setdefault(hop.server, [])
             free = [lane for lane in lanes if lane.takes(hop)]
             best = min(free, key=lambda lane: len(lane.open)) if free else None
-            breaking = time.time_ns() - self.broke < self.site.idle_close
+            breaking = time.monotonic_ns() + EPOCH - self.broke < self.site.idle_close
             if best is not None and (not best.open or len(lanes) >= (LANES if breaking else 1)
                                      or self.many() >= self.most_lanes // 2):
                 return best  # beyond half of the descriptors further ones are for servers that have none
@@ -105,7 +106,7 @@
     def purge_told(self, obj: str | None, group: int) -> None:
         """Hops decided before, and not written, would ask for copies too old; those older than a connection may take
         to come up are not written at all, so a purge need not be kept for longer."""
-        now, self.purges = time.time_ns(), self.purges + 1
+        now, self.purges = time.monotonic_ns() + EPOCH, self.purges + 1
         for key in [key for key, (_, told) in self.purged.items() if now - told > self.site.connect_timeout]:
             del self.purged[key]
         self.purged[obj if obj is not None else group] = self.purges, now
@@ -131,10 +132,10 @@
         """Just before a hop is written: it may have been given up, or not be right any more, or its client may have gone: of a txn
         that has waited, a close, reset or withdrawal may lie unread in the socket. What lies there is for the client's own reader,
         which puts the hop back into its queue once it has worked that off."""
-        now = time.time_ns()
+        now = time.monotonic_ns() + EPOCH
         if now - self.looked > LOOK_BOARD and self.board is not None:
             self.board.caught_up()
-            self.looked = now = time.time_ns()
+            self.looked = now = time.monotonic_ns() + EPOCH
         if hop.ended:
             return False
         if now - hop.lane.heard > LOOK_IDLE and hop.lane.over():
@@ -191,7 +192,7 @@
             self.report(hop, result)
 
     def report(self, hop: Hop, result: str, reply: resp.Reply | None = None, at: int = 0) -> None:
-        self.route.post(self.route.hop_ended, hop, result, (at or time.time_ns()) - hop.asked, reply)
+        self.route.post(self.route.hop_ended, hop, result, (at or time.monotonic_ns() + EPOCH) - hop.asked, reply)
 
     def answered(self, hop: Hop, reply: resp.Reply, at: int, cork: list | None = None) -> None:
         if not self.claim(hop):
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -12,7 +12,7 @@
 from fieldspur.net import frames
 from fieldspur.net.admit import Admit
 from fieldspur.net.book import Answer, Book
-from fieldspur.net.now import AWAY, looks_at
+from fieldspur.net.now import AWAY, EPOCH, looks_at
 from fieldspur.net.relay import Outlet, Relay
 from fieldspur.site import MS
 
@@ -77,7 +77,7 @@
                     continue
                 if (found := looks(0)) and found[0][1] & AWAY:
                     break  # nobody waits for what it sent; guards against attempts begun for thousands that send and go
-                now = time.time_ns()
+                now = time.monotonic_ns() + EPOCH
                 self.takein.route.gather()
                 try:
                     for value in decoder.filled(size):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -12,9 +12,11 @@
 import time
 from types import SimpleNamespace
 
+from fieldspur.bench.path import ROOT
 from fieldspur.decide import MS, SECOND, Collapsing, Fleet, Purges, Router
 from fieldspur.host import HIT, JOINED, NEVER_RAN, PAST_FRESH, RemapRule
 from fieldspur.net.book import Book
+from fieldspur.net.now import EPOCH
 from fieldspur.net.relay import Relay
 from fieldspur.net.send import Send
 from fieldspur.site import deployment
@@ -226,6 +228,11 @@
                         connectTimeoutUs=5_000_000, idleCloseUs=30_000_000, maxStreams=100, maxOpen=500)}
 
 
+def clock():
+    """The program's clock, in ns."""
+    return time.monotonic_ns() + EPOCH
+
+
 def until(true, what="what was waited for", limit=20.0):
     end = time.monotonic() + limit
     while not (found := true()):
@@ -423,10 +430,35 @@
         return kind, stream, data[5], fields, data[at:]
 
 
+# Put before a process' own modules: its Unix clock, and only that, is off by what the file says, as when an operator sets it.
+CLOCK = """import mmap, struct, time
+with open({path!r}, "r+b") as file:
+    held = mmap.mmap(file.fileno(), 8)
+real = time.time_ns
+time.time_ns = lambda: real() + struct.unpack("q", held[:])[0]
+time.time = lambda: time.time_ns() / 1e9
+"""
+
+
+class SettableClock:
+    """The Unix clock of a process that is started with `env`, set by `set` while it runs."""
+
+    def __init__(self, folder):
+        folder.mkdir()
+        self.off = folder / "off"
+        self.off.write_bytes(bytes(8))
+        (folder / "sitecustomize.py").write_text(CLOCK.format(path=str(self.off)))
+        self.env = {"PYTHONPATH": os.pathsep.join([str(folder), str(ROOT)])}
+
+    def set(self, seconds):
+        with open(self.off, "r+b") as file:
+            file.write(struct.pack("q", int(seconds * 1e9)))
+
+
 class Service:
     """The program as a process, with one cache `c0`, a parent, an origin and a board that stand in."""
 
-    def __init__(self, folder, caches, notices=None, operators=None, **conf):
+    def __init__(self, folder, caches, notices=None, operators=None, env=None, **conf):
         self.board, self.folder = notices or Notices(), folder
         host = "127.%d.%d.1" % (1 + os.getpid() // 250 % 250, 1 + os.getpid() % 250)  # tests beside these have theirs
         with socket.create_server((host, 0)) as free:
@@ -441,7 +473,7 @@
         self.path.write_text(json.dumps(self.conf))
         self.log = open(folder / "log", "wb+")
         self.process = subprocess.Popen([sys.executable, "-B", "-m", "fieldspur"], stderr=self.log,
-                                        env=os.environ | {"LB_CONFIG": str(self.path)} | self.wishes(operators))
+                                        env=os.environ | {"LB_CONFIG": str(self.path)} | self.wishes(operators) | (env or {}))
 
     def wishes(self, operators):
         if operators is None:
@@ -505,7 +537,7 @@
     """Open txns of a test that is not about clients: each hop's txn has just been taken, and stands."""
 
     def get(self, ident, _=None):
-        return super().get(ident) or SimpleNamespace(taken=time.time_ns())
+        return super().get(ident) or SimpleNamespace(taken=clock())
 
 
 def sender(address, state="up", lanes=4, book=None):
--- a/tests/routers.py
+++ b/tests/routers.py
@@ -8,7 +8,7 @@
 
 from fieldspur.bench.path import free_port
 from fieldspur.fleet import words, work
-from helpers import Cache, Link, Notices, Service, settings, until
+from helpers import Cache, Link, Notices, Service, SettableClock, settings, until
 
 HOST = "127.%d.%d.2" % (1 + os.getpid() // 250 % 250, 1 + os.getpid() % 250)  # else a link may connect to itself
 
@@ -22,6 +22,7 @@
         self.names = [f"r{n}" for n in range(many)]
         self.ports = [free_port(HOST) for _ in range(many)]
         self.links = {(a, b): Link((HOST, self.ports[b])) for a in range(many) for b in range(many) if a != b}
+        self.clocks = [SettableClock(folder / f"clock{n}") for n in range(many)]
         self.caches, self.board = [Cache() for _ in range(caches)], Notices()
         self.all = [self.start(n) for n in range(many)]
         self.old = []
@@ -38,7 +39,8 @@
         quick = settings()
         quick["guarantees"] |= {"rampTimeUs": 1_000_000}  # from cold to full
         quick["familyInfo"] |= {"parentRampUs": 1_000_000}
-        return Service(self.folder / f"r{n}", self.caches, self.board, wishes, name=self.names[n], settings=quick)
+        return Service(self.folder / f"r{n}", self.caches, self.board, wishes, name=self.names[n], settings=quick,
+                       env=self.clocks[n].env)
 
     def restart(self, n):
         self.old.append(self.all[n])
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,7 +20,7 @@
 from fieldspur.net.send import LOOK_CLIENT
 from fieldspur.net.takein import TakeIn, encode
 from fieldspur.decide import MS, SECOND
-from helpers import Cache, Client, Notices, Referee, Stalled, at_its_peer, pause, sender, until
+from helpers import Cache, Client, Notices, Referee, SettableClock, Stalled, at_its_peer, clock, pause, sender, until
 
 ACK = ("ACK", "entity=e,issued=1,tell=TCP_HIT", b"bytes")
 HELD = "127.0.0.1:1"  # nothing listens there
@@ -35,7 +35,7 @@
 
 def taken(send, outlet, ident=5, stream=1, before_ms=0, rule="media"):
     """A txn in the book, taken so long ago, and a hop of it that is not written yet."""
-    now = time.time_ns()
+    now = clock()
     txn = Txn(ident, f"{ident:016x}", 0, rule, "a" * 16, 0, 1, 1.0, None, None, b"", now - before_ms * MS, now + 3000 * MS, outlet,
               stream, 1)
     send.book.take(txn)
@@ -198,7 +198,7 @@
     here, there = pair()
     relay = Relay(1 << 20)
     outlet = Outlet(here, encode, relay)
-    txn = Txn(5, "%016x" % 5, 0, "media", "a" * 16, 0, 1, 1.0, None, None, b"", 0, time.time_ns() - 100 * MS, outlet, 1)
+    txn = Txn(5, "%016x" % 5, 0, "media", "a" * 16, 0, 1, 1.0, None, None, b"", 0, clock() - 100 * MS, outlet, 1)
     assert outlet.open(1, 5)
     there.sendall(b"\0\0\0\5C\0\0\0\1")
     select.select([here], [], [])
@@ -524,7 +524,8 @@
     client.ask(1, limit="5000", ram="5600")  # so large that its server may be silent for so long
     client.ask(2, limit="5000", ram="5600", item="%016x" % 1)
     client.ask(3, limit="3000", ram="5600", verb="checkout", unique="k3")
-    until(lambda: len(cache.wants) == 3)
+    until(lambda: len(cache.wants) == 3 or select.select([client.sock], [], [], 0)[0])
+    assert len(cache.wants) == 3, (client.get(), service.lines()[-1500:], cache.wants)
     began = time.monotonic()
     service.process.terminate()
     assert client.get()[0] == 90
@@ -592,9 +593,9 @@
 def test_a_repeat_that_waited_for_its_connection_goes_out_only_within_what_the_first_try_is_remembered_for(dial, in_time):
     cache = Cache()
     send = sender(cache.address, book=Book())
-    hop = keyed(send, time.time_ns() + (20_000 if in_time else 30) * MS)
+    hop = keyed(send, clock() + (20_000 if in_time else 30) * MS)
     send.hop(hop).pump()
-    while not in_time and time.time_ns() <= hop.go_by:
+    while not in_time and clock() <= hop.go_by:
         time.sleep(0.005)
     dial.set()
     assert until(lambda: send.route.posted)[0][:2] == (hop, "completed" if in_time else "unsent")
@@ -605,17 +606,17 @@
     """The server reads half of it, and the rest later: it must not have it whole by then."""
     cache = Stalled()
     send = sender(cache.address, book=Book())
-    lane = send.hop(keyed(send, time.time_ns() + 20_000 * MS))
+    lane = send.hop(keyed(send, clock() + 20_000 * MS))
     lane.pump()
     until(lambda: send.route.posted)
     cache.go_on.clear()
     lane.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-    hop = keyed(send, time.time_ns() + 300 * MS, 6, b"w" * 1_000_000)
+    hop = keyed(send, clock() + 300 * MS, 6, b"w" * 1_000_000)
     assert send.hop(hop) is lane
     lane.pump()
     until(lambda: lane.draining)
     until(lambda: len(send.route.posted) == 2, limit=5)
-    assert send.route.posted[1][:2] == (hop, "unsent") and time.time_ns() >= hop.go_by - 2 * MS  # whole ms are waited
+    assert send.route.posted[1][:2] == (hop, "unsent") and clock() >= hop.go_by - 2 * MS  # whole ms are waited
     cache.go_on.set()
     until(lambda: lane.closed)
     time.sleep(0.05)
@@ -635,7 +636,7 @@
     until(lambda: first.ready and cache.conns)
     cache.reset() if how == "resets" else cache.conns[0].shutdown(socket.SHUT_WR)
     until(lambda: looks_at(first.sock).poll(0))
-    first.heard = time.time_ns() - 50 * MS
+    first.heard = clock() - 50 * MS
     assert send.hop(hop) is first
     first.pump()
     assert [about[:2] for about in send.route.posted] == [(hop, "unsent")] and not hop.written
@@ -647,3 +648,24 @@
     until(lambda: cache.wants)
     assert [want["id"] for want in cache.wants] == [again.name]
     held.set()
+
+
+@pytest.mark.parametrize("seconds", [300, -300])
+def test_a_clock_that_is_set_by_minutes_moves_no_time_limit(run, tmp_path, seconds):
+    """An operator, or a time server, sets the system's clock while a txn is out at a server that hangs."""
+    clock, hung = SettableClock(tmp_path / "clock"), "%016x" % 1
+    cache = Cache(lambda want: None if want["id"] == hung else ACK)
+    service = run(cache, env=clock.env)
+    client = service.client()
+    client.ask(9)
+    assert client.get()[1:3] == (9, 79)
+    client.ask(1, limit="800")
+    until(lambda: len(cache.wants) == 2)
+    began = time.monotonic()
+    clock.set(seconds)
+    assert client.get()[1] == 1 and 0.5 < time.monotonic() - began < 1.0
+    service.board.tell(2, flush={"collection": 7, "ms": int(time.time() * 1000)})  # by the board's clock
+    until(lambda: service.board.sent)
+    for stream in range(2, 6):
+        client.ask(stream)
+    assert {client.get()[1:3] for _ in range(4)} == {(stream, 79) for stream in range(2, 6)}
--- a/tests/test_first_bytes.py
+++ b/tests/test_first_bytes.py
@@ -15,13 +15,13 @@
 from fieldspur.net.lane import Hop, Lane
 from fieldspur.net.now import looks_at
 from fieldspur.site import MS
-from helpers import Cache, Listener, Notices, Stalled, endpoint, sender, until
+from helpers import Cache, Listener, Notices, Stalled, clock, endpoint, sender, until
 from test_path import go, want
 
 
 def hop(number, source=None, name=None, group=7, purges=0, body=b""):
     name = name or f"{number:016x}"
-    return Hop(number, 0, name, "c0", source, want(name, body), time.time_ns(), 0, group, purges)
+    return Hop(number, 0, name, "c0", source, want(name, body), clock(), 0, group, purges)
 
 
 # A start.
@@ -124,7 +124,7 @@
     assert lane.left and cut.written
     free = next(one for one in hops if not one.written)  # never went out: nobody need be told
     for one in (cut, free):
-        assert send.give_up(one, time.time_ns())
+        assert send.give_up(one, clock())
     lane.pump()
     for one in (free, cut):
         go(send, next_of(one))
@@ -152,7 +152,7 @@
     until(lambda: cache.wants)
     cache.reset()
     until(lambda: any(event & select.POLLHUP for _, event in looks_at(lane.sock).poll(0)))
-    assert send.give_up(one, time.time_ns())
+    assert send.give_up(one, clock())
     lane.pump()
     go(send, next_of(one))
     held.set()
@@ -176,7 +176,7 @@
         go(send, one)
     last = [one for one in hops if one.written][-1]
     assert lane.draining and not lane.left
-    assert send.give_up(last, time.time_ns())
+    assert send.give_up(last, clock())
     lane.pump()
     assert not lane.words and not send.untold and lane.draining
     go(send, next_of(last))
@@ -239,9 +239,9 @@
     lane, hops = fill(send, cache)
     waits = [one for one in hops if not one.written]
     for one in waits:
-        assert send.give_up(one, time.time_ns())
+        assert send.give_up(one, clock())
     begun = [one for one in hops if one.written]
-    assert send.give_up(begun[0], time.time_ns())
+    assert send.give_up(begun[0], clock())
     cache.go_on.set()
     until(lambda: cache.given_up)
     until(lambda: not lane.queue)
@@ -432,6 +432,6 @@
         notices.tell(2, pool={"endpoints": [endpoint("c1", cache.address)]})
         notices.tell(3, flush={"collection": 7, "ms": time.time_ns() // MS})
         until(lambda: notices.sent == [2, 3])
-        route.queue.append((lambda: seen.append((send.purges, "c1" in send.servers)), (), time.time_ns()))
+        route.queue.append((lambda: seen.append((send.purges, "c1" in send.servers)), (), clock()))
     until(lambda: seen)
     assert seen == [(1, True)]
--- a/tests/test_fleet_work_processes.py
+++ b/tests/test_fleet_work_processes.py
@@ -194,6 +194,26 @@
     assert not crowd.to("c0", at + GRACE) and [fleet.state(n, "c0") for n in range(3)] == [work.FREE] * 3
 
 
+@pytest.mark.parametrize("off", [300, -300])
+def test_clocks_that_are_set_by_minutes_change_nothing_of_an_order_and_routers_go_on_serving(crowded, off):
+    """First that of who acts, then that of another; agreement and leases go by a clock that nobody sets."""
+    fleet, crowd = crowded(3)
+    first, _ = fleet.acting()
+    other = (first + 1) % 3
+    fleet.ask(other, {"machine": "c1", "needs_s": 2})
+    until(lambda: fleet.state(other, "c1") in (work.GOING, work.OUT), "a machine that goes")
+    fleet.clocks[first].set(off)
+    at = out_since(fleet, other, "c1")
+    fleet.clocks[other].set(-off)
+    until(lambda: fleet.state(other, "c1") == work.FREE, "word that it is free")
+    served = dict(crowd.answers)
+    time.sleep(2)
+    assert not crowd.to("c1", at + GRACE) and all(crowd.answers[n] > served[n] + 50 for n in range(3)), (served, crowd.answers)
+    restarted(fleet, "c1")
+    until(lambda: all(fleet.state(n, "c1") == work.DONE for n in range(3)), "its end", 30)
+    assert fleet.acts(first)
+
+
 def test_a_withdrawn_order_gives_its_machine_back(crowded):
     fleet, crowd = crowded(3)
     fleet.ask(2, {"machine": "c3", "needs_s": 300, "before": time.time() + 3600})
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -30,7 +30,7 @@
 from fieldspur.net.window import Window
 from fieldspur.record import made, record, replace
 from fieldspur.site import MS, deployment
-from helpers import Cache, Listener, sender, settings, until
+from helpers import Cache, Listener, clock, sender, settings, until
 
 ROOT = Path(__file__).parents[1]
 
@@ -159,7 +159,7 @@
 
     cache = Slow(lambda w: seen.append((w["id"], len(w["body"]))))
     send = sender(cache.address)
-    hops = [Hop(n + 1, 0, f"{n:016x}", "c0", None, want(f"{n:016x}", b"w" * 48_000), time.time_ns()) for n in range(90)]
+    hops = [Hop(n + 1, 0, f"{n:016x}", "c0", None, want(f"{n:016x}", b"w" * 48_000), clock()) for n in range(90)]
     lane = go(send, hops[0])
     until(lambda: lane.ready)
     lane.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
@@ -176,11 +176,11 @@
     quiet = Listener()
     quiet.serve = lambda conn: time.sleep(30)
     send = sender(quiet.address)
-    first = Hop(1, 0, "a" * 16, "c0", None, want("a" * 16), time.time_ns())
+    first = Hop(1, 0, "a" * 16, "c0", None, want("a" * 16), clock())
     lane = go(send, first)
     until(lambda: lane.ready and first.written)
     lane.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-    bodies = [Hop(n, 0, f"{n:016x}", "c0", None, want(f"{n:016x}", b"w" * 48_000), time.time_ns()) for n in range(2, 150)]
+    bodies = [Hop(n, 0, f"{n:016x}", "c0", None, want(f"{n:016x}", b"w" * 48_000), clock()) for n in range(2, 150)]
     for hop in bodies:
         go(send, hop)
         if lane.draining:
@@ -196,10 +196,10 @@
 def test_a_server_gone_between_choice_and_write_never_gets_the_hop():
     cache = Cache(lambda w: None)
     send = sender(cache.address)
-    hop = Hop(1, 0, "a" * 16, "c0", None, want("a" * 16), time.time_ns())
+    hop = Hop(1, 0, "a" * 16, "c0", None, want("a" * 16), clock())
     lane = go(send, hop)
     until(lambda: hop.written and cache.wants)
-    other = Hop(2, 0, "b" * 16, "c0", None, want("b" * 16), time.time_ns())
+    other = Hop(2, 0, "b" * 16, "c0", None, want("b" * 16), clock())
     assert send.hop(other) is lane
     send.listed("c0", ("", 0), "gone")
     lane.pump()
@@ -220,22 +220,22 @@
 
     hasty = Hasty()
     send = sender(hasty.address)
-    hop = Hop(1, 0, "a" * 16, "c0", None, want("a" * 16, b"w" * 48_000), time.time_ns())
+    hop = Hop(1, 0, "a" * 16, "c0", None, want("a" * 16, b"w" * 48_000), clock())
     lane = go(send, hop)
     until(seen.is_set)
     until(lambda: send.route.posted)
     assert send.route.posted[0][:2] == (hop, "error") and len(send.route.posted) == 1 and not lane.open
-    assert not send.give_up(hop, time.time_ns())
+    assert not send.give_up(hop, clock())
 
 
 def test_answers_of_one_read_go_out_in_one_write_and_each_to_its_own_client():
     """Corked answers are owed until they are written: neither a sweep nor an end closes their connection before."""
     send = sender(Listener().address)
-    lane = go(send, Hop(99, 0, "f" * 16, "c0", None, want("f" * 16), time.time_ns()))
+    lane = go(send, Hop(99, 0, "f" * 16, "c0", None, want("f" * 16), clock()))
     pairs, outlets = [socket.socketpair() for _ in range(2)], []
     for here, _ in pairs:
         outlets.append(Outlet(here, encode, send.relay))
-    data, at = b"", time.time_ns()
+    data, at = b"", clock()
     for n in range(6):
         name = f"{n + 1:016x}"
         outlets[n % 2].open(n + 1, n + 1)
@@ -337,7 +337,7 @@
             return True
 
     def hop_out(hop):
-        hop.lane, hop.written = lanes, time.time_ns()
+        hop.lane, hop.written = lanes, clock()
         hops.setdefault(hop.ident, []).append(hop)
         return lanes
 
@@ -364,12 +364,12 @@
                 send.ended(hop, "broken")
             else:
                 send.answered(hop, resp.Reply(hop.name, "completed" if what == "good" else "error", False, 1, None, None,
-                                              b"x"), time.time_ns())
+                                              b"x"), clock())
 
     def arrive(numbers):
         for ident in numbers:
             streams[ident] = ident
-            at = time.time_ns()
+            at = clock()
             txn = Txn(ident, f"{ident:016x}", ident % 2, "media", f"{ident % 7:016x}", 0, 1, 1.0, "k", None, b"", at,
                       at + 60_000 * MS, outlet, ident)
             book.take(txn)
@@ -418,7 +418,7 @@
     here, there = socket.socketpair()
     outlet = Outlet(here, encode, route.relay)
     outlet.open(1, 1)
-    at = time.time_ns()
+    at = clock()
     route.book.take(Txn(1, "a" * 16, 0, "media", "o", 0, 1, 1.0, None, None, b"", at, at + 3000 * MS, outlet, 1))
     route.post(route.arrived, route.book.open[1])  # no server is listed
     there.setblocking(False)
@@ -427,9 +427,9 @@
 
 def test_an_earlier_timer_wakes_the_timers_thread_and_cancelled_ones_do_not():
     route, told = plain_route(), []
-    route.router = SimpleNamespace(woken=lambda label: told.append((label, time.time_ns())))
+    route.router = SimpleNamespace(woken=lambda label: told.append((label, clock())))
     threading.Thread(target=route.run, daemon=True).start()
-    base = time.time_ns()
+    base = clock()
 
     def set_timers():
         for label, after in ((1, 5_000), (2, 60), (3, 30), (4, 40)):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -27,7 +27,7 @@
 from fieldspur.net.takein import Client as ClientSide, TakeIn, encode
 from fieldspur.record import replace
 from fieldspur.site import MS, deployment, read_node
-from helpers import Cache, Client, Events, Listener, Notices, endpoint, sender, settings, until
+from helpers import Cache, Client, Events, Listener, Notices, clock, endpoint, sender, settings, until
 
 ACK = ("ACK", "entity=e,issued=1,tell=TCP_HIT", b"bytes")
 
@@ -475,7 +475,7 @@
 
 
 def probe(send, name="busy-1"):
-    return go(send, Hop(0, 1, name, "c0", None, None, time.time_ns()))
+    return go(send, Hop(0, 1, name, "c0", None, None, clock()))
 
 
 def go(send, hop):
@@ -489,7 +489,7 @@
 def test_a_hop_that_waited_while_its_server_or_source_began_to_drain_never_goes_out(state, source, result):
     cache = Cache()
     send = sender(cache.address, state)
-    hop = go(send, Hop(0, 1, "busy-1", "c0", source, None, time.time_ns()))
+    hop = go(send, Hop(0, 1, "busy-1", "c0", source, None, clock()))
     assert until(lambda: send.route.posted)[0][:2] == (hop, result) and result in RESULTS and not cache.wants
 
 
@@ -498,7 +498,7 @@
     send = sender(quiet.address)
     hop = probe(send)
     until(lambda: hop.written and quiet.conns)
-    assert send.give_up(hop, time.time_ns()) and not send.give_up(hop, time.time_ns())
+    assert send.give_up(hop, clock()) and not send.give_up(hop, clock())
     lane = hop.lane
     quiet.reset()
     until(lambda: lane.closed)
@@ -561,8 +561,8 @@
     send.route = Events()
     outlet = SimpleNamespace(answer=lambda *about: seen.append((relay.done(), dict(book.open))))
     book.take(Txn(5, "a", 0, "media", "o", 0, 1, 1.0, None, None, b"", 0, 0, outlet, 1))
-    hop = Hop(5, 0, "a", "c0", None, resp.Want(*["x"] * 14), time.time_ns())
-    send.answered(hop, resp.reply([b"a", b"ACK", b"entity=e", b"x"]), time.time_ns())
+    hop = Hop(5, 0, "a", "c0", None, resp.Want(*["x"] * 14), clock())
+    send.answered(hop, resp.reply([b"a", b"ACK", b"entity=e", b"x"]), clock())
     assert seen == [(False, {})] and relay.done()
 
 
@@ -592,14 +592,14 @@
     admit = Admit(site, Book(), SimpleNamespace(full=lambda: False, arrived=None, behind=0, post=lambda *about: None), 1000)
     for stream in (1, 2):
         admit.request(Request(stream, "media", "%016x" % stream, 10**9, None, "0" * 16, 0, 1, 1.0, None, b"x" * 600),
-                      outlet, time.time_ns())
+                      outlet, clock())
     assert there.recv(100) == b"".join(encode(2, Answer("rejected", 1000))) and list(outlet.streams) == [1]
 
 
 def test_a_router_that_runs_behind_takes_that_off_the_time_limit_and_then_refuses():
     here, there = socket.socketpair()
     route = Route(deployment(settings()), 1, Book(), Relay(1 << 20), Send(deployment(settings()), None, None, 1))
-    route.queue.append((lambda: None, (), time.time_ns() - 300_000_000))
+    route.queue.append((lambda: None, (), clock() - 300_000_000))
     route.work()
     admit, outlet = Admit(route.site, route.book, route, 1000), Outlet(here, encode, route.relay)
     request = Request(1, "media", "%016x" % 1, 10**9, None, "0" * 16, 0, 1, 1.0, None, b"")
@@ -622,7 +622,7 @@
     route.list_told(ListChange(True, (row,)), now=True)
     outlet = Outlet(here, encode, route.relay)
     outlet.streams[1] = 1
-    now = time.time_ns()
+    now = clock()
     route.book.take(Txn(1, "%016x" % 1, 0, "media", "o", 0, 1, 1.0, None, None, b"", now, now + 100 * MS, outlet, 1))
     route.post(route.arrived, route.book.open[1])
     (hop,) = route.hops.values()
@@ -633,9 +633,9 @@
             route.post(always)
         left.append(len(route.queue))
 
-    route.queue.append((always, (), time.time_ns()))
+    route.queue.append((always, (), clock()))
     route.work(0)
-    assert hop.ended and not route.book.open and left[-2] == 1 and time.time_ns() >= now + 100 * MS
+    assert hop.ended and not route.book.open and left[-2] == 1 and clock() >= now + 100 * MS
     assert there.recv(100)[9] == 66
 
 
