One module says what may be sent, repeated, taken, closed or ended, and its refusals are counted

Behaviour is the same. At run time Send.begin checks that no other attempt of a request is out (asserted in debug builds, counted in release builds). Logs: reasons counted in each counts line, state changes of endpoints, why a connection to a server ended, the client's request id in lines of attempts and answers.

Stand-ins of three tests follow the renamed attributes (an endpoint has a name for its address, a stub a queue in place of full()); their assertions are untouched.

--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -20,6 +20,7 @@
 from fieldspur.net.route import Route
 from fieldspur.net.send import Send
 from fieldspur.net.takein import TakeIn
+from fieldspur.permissions import may_exit
 from fieldspur.operators import BadFile, Operators, read
 from fieldspur.record import replace
 from fieldspur.site import MS, BadSite, Node, differences, read_node
@@ -129,9 +130,15 @@
             "lag_ms": lag // MS, "pause_ms": int(pause * 1000), "board_ms": int(waited * 1000),
             "held": self.relay.held, "too_much": self.relay.too_much, "cpu": time.process_time(),
             "system": os.times().system,
-            "broken": sum(holds.broken.values()),
+            "broken": sum(holds.broken.values()), **self.reasons(),
             **{f"shape_{kind}": n for kind, n in self.route.router.differs.items()}}})
 
+    def reasons(self) -> dict[str, int]:
+        """How often something was refused, given up or closed, by reason."""
+        counts = {f"refused_{why.value}": n for why, n in (*self.send.refused.items(), *self.takein.admit.refused.items())}
+        counts |= {f"gave_up_{why.value}": n for why, n in self.route.router.gave_up.items()}
+        return counts | {f"closed_{why.name.lower()}": n for why, n in self.takein.closed_for.items()}
+
     def reload(self) -> None:
         """Read the files again. One that can't be used changes nothing, nor does what a running router keeps."""
         try:
@@ -166,7 +173,7 @@
             late = took > STILL_COMING + left
             if late and self.book.open:
                 self.route.post(self.route.time_is_up)
-            if self.takein.shut(late) and not self.book.open and self.relay.done():
+            if may_exit(self.takein.shut(late), len(self.book.open), not self.relay.done()):
                 break
             time.sleep(0.01)
         began = time.monotonic()
--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -11,6 +11,7 @@
 
 from .host import (FILLED, FILLED_BY_ORIGIN, HIT, JOINED, NEVER_RAN, ORIGIN_FAILED, PAST_FRESH,
                    SOURCE_LACKS, SOURCE_LOST, SOURCE_REFUSED, Host, RemapRule)
+from .permissions import GiveUp, last_repeat, may_promise_no_effect, repeat_refusal
 from .record import made, record
 
 try:
@@ -43,7 +44,7 @@
 FILL_PACE, PROBE_GAP, SEEN_LAG = 2.5, 400 * MS, 1.15  # a fill's pace over a client's; probes; seen late
 FIRST_WORK, FIRST_BYTE, LEARN = 400 * MS, 80 * MS, 0.05  # before any is learned; weight of one sample
 KEPT_PART, PART_STEP = 0.8, 0.1  # what a rule's largest keep of its answered part at the least; one sample
-REPEAT_WAY, NEVER = 50 * MS, 1 << 62  # a repeat's way from its write to its server: the slack
+NEVER = 1 << 62
 
 
 @record(eq=False)
@@ -440,6 +441,7 @@
         self.first_byte_after, self.first_byte_spread = float(FIRST_BYTE), FIRST_BYTE / 2
         self.txns, self.alarms = {}, {}  # by number; by label
         self.last_label, self.retries, self.probed_at, self.notes = 0, RETRY_MOST, 0, False
+        self.gave_up: dict[GiveUp, int] = {}  # requests given up, by reason
 
     # A txn's way.
 
@@ -448,7 +450,7 @@
         work = int(kb / self.kb_per_s * SECOND) if kb else int(self.works[rule_at])
         txn = self.txns[ident] = Txn(ident, rule, rule_at, obj, part, group, work, kb > 0, now + left)
         if work > rule.limit:  # can't be sent in its time; nor is a figure out of range to be learned
-            return self.give_up(txn)
+            return self.give_up(txn, GiveUp.TOO_LARGE)
         self.works[rule_at] += (work - self.works[rule_at]) * LEARN
         sizes, step = self.sizes[rule_at], self.works[rule_at] * LEARN
         sizes.tenth += step * ((work >= sizes.tenth) - 0.1)
@@ -491,7 +493,7 @@
         if txn.ended or txn.hops and any(h.out for h in txn.hops):
             return None
         if now >= txn.limit_at or len(txn.hops) >= self.hop_limit:
-            return self.give_up(txn)
+            return self.give_up(txn, GiveUp.OUT_OF_TIME if now >= txn.limit_at else GiveUp.ATTEMPTS_SPENT)
         mean = max(self.works[txn.rule_at], txn.work)
         worth = rule.importance / self.mean_importance * self.mean_work / max(txn.work, MS)
         sizes = self.sizes[txn.rule_at]
@@ -505,11 +507,11 @@
         server = fleet.cache_for(order, txn.obj, txn.part, now, mean, crowd, txn.avoid, follow,
                                  (lambda s: self.may_send(txn, s, now)) if txn.hops else None)
         if server is None:  # nowhere to go, or too crowded for what the txn is worth
-            return self.give_up(txn)
+            return self.give_up(txn, GiveUp.NO_SERVER)
         if rule.never_kept:
             source, rank, charged = fleet.origin, 0, 0.0
             if source is None or source.state != "up":
-                return self.give_up(txn)
+                return self.give_up(txn, GiveUp.NO_SOURCE)
         else:
             home, rank = order[0], KEPT_RANK
             if (server is not home and fleet.siblings and home.state == "up"
@@ -531,7 +533,7 @@
             server.tokens -= mean
             go_by = min(go_by, fleet.span_ends(server, now))
         if txn.hops and rule.kind == "keyed":
-            go_by = min([go_by] + [h.sent + rule.remembered - REPEAT_WAY for h in txn.hops if h.ran])
+            go_by = min(go_by, last_repeat(rule, [h for h in txn.hops if h.ran]))
         hop = Hop(txn.ident, len(txn.hops), server, source, now, txn.work, len(server.out), filling, charged,
                   fetch, counted=filling)
         fleet.fills_change(server, filling)
@@ -551,20 +553,14 @@
 
     def may_send(self, txn: Txn, server: Server, now: int) -> bool:
         """Guards against an effect that happens twice."""
-        ran = [h for h in txn.hops if h.ran]
-        if not ran or txn.rule.kind == "repeatable":
-            return True
-        if txn.rule.kind == "unrepeatable" or now - ran[0].sent >= txn.rule.remembered - REPEAT_WAY:
-            return False
-        return all(txn.rule.group == "all" or (txn.rule.group == "zone" and server.zone == h.server.zone)
-                   or (txn.rule.group == "cell" and server.cell == h.server.cell) for h in ran)
+        return repeat_refusal(txn.rule, [h for h in txn.hops if h.ran], server, now) is None
 
     def may_reject(self, txn: Txn) -> bool:
-        return txn.rule.kind == "repeatable" or not any(h.ran for h in txn.hops) or (
-            txn.rule.kind == "keyed" and txn.rule.group == "all")
+        return may_promise_no_effect(txn.rule, [h for h in txn.hops if h.ran])
 
-    def give_up(self, txn: Txn) -> None:
+    def give_up(self, txn: Txn, why: GiveUp) -> None:
         """The final answer, at once."""
+        self.gave_up[why] = self.gave_up.get(why, 0) + 1
         self.sizes[txn.rule_at].ended(txn.work, False)
         if self.may_reject(txn):
             self.host.reject(txn.ident, int(self.longest_come_back * self.random.uniform(0.3, 1.0)))
@@ -624,7 +620,7 @@
             self.finish(txn, result == "completed")
         elif (now >= txn.limit_at - 2 * MS or result == "timed_out" or txn.hopeless
               or (self.retries < 1 and result not in LOST) or sum(h.erred for h in txn.hops) >= ERRORS_MOST):
-            self.give_up(txn)
+            self.give_up(txn, GiveUp.NOT_RETRIED)
         else:
             self.retries -= result not in LOST  # guards against hops that multiply an overload
             self.send(txn)
@@ -746,7 +742,7 @@
         """The program ends, and what is still open gets its answer now."""
         txn = self.txns.get(ident)
         if txn is not None and not txn.ended:
-            self.give_up(txn)
+            self.give_up(txn, GiveUp.PROGRAM_ENDS)
 
     def purged(self, obj: str | None, group: int, age: int) -> None:
         self.purges.note(self.host.now(), obj, group, age)
--- a/fieldspur/fleet/overlay.py
+++ b/fieldspur/fleet/overlay.py
@@ -89,7 +89,7 @@
 
     def doubted(self, doubt: Callable[[str], bool] | None) -> None:
         """What asks, just before each write, whether a server may be used at this very moment."""
-        self.route.sender.doubt = doubt
+        self.route.sender.rules.in_doubt = doubt
 
     def turn_away(self, yes: bool) -> None:
         """The router serves nothing while it can't know what is out."""
--- a/fieldspur/net/admit.py
+++ b/fieldspur/net/admit.py
@@ -8,6 +8,7 @@
 from fieldspur.net.frames import Request, Unusable
 from fieldspur.net.relay import Outlet
 from fieldspur.net.wheel import NEVER
+from fieldspur.permissions import take_refusal
 from fieldspur.site import MS, Deployment
 
 log = logging.getLogger("fieldspur.admit")
@@ -20,6 +21,7 @@
     def __init__(self, site: Deployment, book: Book, route, most_bytes: int):
         self.book, self.route, self.most_open, self.most_bytes = book, route, site.most_open, most_bytes
         self.come_back_ms = site.router["longest_come_back"] // MS
+        self.refused: dict[str, int] = {}  # requests turned away here, by reason
         self.ends_at = NEVER  # every txn has its answer by then: an ending program is killed soon after
         self.limits = [rule.limit for rule in site.rules]
         self.rules = {name: (at, site.rules[at].kind == "keyed") for at, name in enumerate(site.rule_names)}
@@ -44,9 +46,11 @@
         txn = Txn(ident, request.txn, at, request.rule, request.obj, request.part, request.group, request.kb,
                   request.key, request.tag, request.body, now,
                   min(now + limit - SLACK // 2 - self.route.behind, self.ends_at), outlet, request.stream)
-        if (len(self.book.open) >= self.most_open or self.route.full()
-                or self.book.bytes + len(txn.body) > self.most_bytes):
+        refusal = take_refusal(len(self.book.open), self.most_open, len(self.route.queue), self.route.most_queued,
+                               self.book.bytes + len(txn.body), self.most_bytes)
+        if refusal is not None:
             self.book.count("full")
+            self.refused[refusal] = self.refused.get(refusal, 0) + 1
             outlet.answer(request.stream, Answer("rejected", self.come_back_ms))
             return True
         self.book.take(txn)
--- a/fieldspur/net/lane.py
+++ b/fieldspur/net/lane.py
@@ -123,12 +123,15 @@
 
     def sift(self) -> None:
         """Hops that wait here and may not go out any more are taken back at once: they never ran."""
-        for hop in [hop for hop in list(self.queue) if self.send.stale(hop, time.monotonic_ns() + EPOCH)]:
+        for hop in list(self.queue):
+            refusal = self.send.rules.refusal(hop, time.monotonic_ns() + EPOCH)
+            if refusal is None:
+                continue
             try:
                 self.queue.remove(hop)
             except ValueError:
                 continue  # a writer has it, and looks by itself
-            self.send.take_back(hop)
+            self.send.take_back(hop, refusal)
 
     def pump(self) -> None:
         """Write what waits here. Whoever finds another at it leaves: that one looks again before it goes."""
@@ -312,8 +315,8 @@
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, STRUCT_TIME.pack(
                 *divmod(site.connect_timeout // US, 1_000_000)))
             keep_little(self.sock)
-        except OSError:  # not established
-            return self.end("unreachable")
+        except OSError as wrong:  # not established
+            return self.end("unreachable", why=wrong.strerror or "timed out")
         self.heard = time.monotonic_ns() + EPOCH
         self.ready = True
         self.pump()
@@ -339,17 +342,18 @@
                 self.look()
 
     def read(self) -> None:
-        decoder = resp.Decoder()
+        decoder, why = resp.Decoder(), "closed by the server"
         try:
             while size := self.receive(decoder):
                 self.replies(decoder, size)
                 if self.retired or self.server not in self.send.servers:
                     self.look()
-        except OSError:
-            pass
+        except OSError as wrong:
+            why = wrong.strerror or type(wrong).__name__
         except resp.BadReply as bad:
+            why = f"unreadable: {bad}"
             log.error("unreadable", extra={"kv": {"server": self.server, "why": str(bad)}})
-        self.end()
+        self.end(why="closed here" if self.closed else why)
 
     def replies(self, decoder: resp.Decoder, size: int) -> None:
         """All that one read brought. Answers to one client go out in one write, and the Router hears of them together."""
@@ -381,7 +385,7 @@
         except OSError:
             pass
 
-    def end(self, unwritten: str = "unsent") -> None:
+    def end(self, unwritten: str = "unsent", why: str = "") -> None:
         """What was not written never ran; only a connection that did not come up speaks against the server."""
         with self.lock:
             self.closed = True
@@ -395,6 +399,8 @@
         self.words.clear()
         self.writing.release()
         self.told()  # by its end
+        log.info("connection", extra={"kv": {"server": self.server, "state": "ended", "why": why, "open": len(hops),
+                                             "written": sum(hop.written > 0 for hop in hops)}})
         if any(hop.written for hop in hops):
             self.send.broke = time.monotonic_ns() + EPOCH
         for hop in hops:
--- a/fieldspur/net/route.py
+++ b/fieldspur/net/route.py
@@ -39,7 +39,8 @@
     def __init__(self, site: Deployment, seed: int, book: Book, relay: Relay, send: Send):
         self.site, self.book, self.relay, self.sender = site, book, relay, send
         send.route = self
-        self.queue: deque = deque()  # bounded by MOST_QUEUED and the open txns
+        self.queue: deque = deque()  # bounded by most_queued and the open txns
+        self.most_queued = MOST_QUEUED
         self.lock = threading.Lock()  # of the Router, the wheel and all below; taken without waiting
         self.caller = None  # the thread in the Router
         self.mine, self.outbox = Mine(), []  # what to write once the lock is released
@@ -78,9 +79,6 @@
         if self.queue:
             self.work()
 
-    def full(self) -> bool:
-        return len(self.queue) >= MOST_QUEUED
-
     def work(self, most: int = MOST_FOR_OTHERS) -> bool:
         """Handle what waits unless another thread is at it: false, then. What an event leads to on sockets goes out
         after a few of them, once the lock is released."""
@@ -246,7 +244,7 @@
 
     def tell(self, hop: Hop, result: str, took: int, reply: resp.Reply | None) -> None:
         log.debug("hop", extra={"kv": {
-            "txn": hop.ident, "hop": hop.number, "rule": hop.want.rule, "obj": hop.want.obj, "part": hop.want.part,
+            "txn": hop.name, "hop": hop.number, "rule": hop.want.rule, "obj": hop.want.obj, "part": hop.want.part,
             "server": hop.server, "source": hop.source or "-", "fetch": hop.want.fetch, "result": result,
             "note": reply.note if reply else 0, "took": took // MS,
             "wrote": (hop.written - hop.asked) // MS if hop.written else -1}})
@@ -367,6 +365,9 @@
         self.relay.owing.add((ident, BY_ROUTER))
         txn = self.book.settle(ident, answer)
         if txn is not None:
+            if log.isEnabledFor(logging.DEBUG):
+                log.debug("answered", extra={"kv": {"txn": txn.name, "word": answer.word, "attempts": txn.hops,
+                                                    "left_ms": (txn.limit_at - self.clock) // MS}})
             self.outbox.append((None, txn, answer))
         else:
             self.relay.owing.discard((ident, BY_ROUTER))
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -9,13 +9,14 @@
 from fieldspur.decide import LANES
 from fieldspur.net import resp
 from fieldspur.net.book import Answer, Book
+from fieldspur.net.holds import holds
 from fieldspur.net.lane import Hop, Lane
 from fieldspur.net.now import EPOCH
 from fieldspur.net.relay import LEFT, UNREAD, Relay
+from fieldspur.permissions import AttemptRules, Refusal
 from fieldspur.site import MS, Deployment
 
 log = logging.getLogger("fieldspur.send")
-GONE, NONE = (("", 0), "gone"), (0, 0)
 LOOK_CLIENT = 20 * MS  # a txn taken that long ago has waited for something: its client may have left meanwhile
 LOOK_IDLE = 20 * MS  # a connection on which nothing came for that long may have been closed meanwhile
 LOOK_BOARD = 50 * MS  # so old may the last look be at whether the board's word lies unread, when a hop is written
@@ -28,26 +29,27 @@
         self.site, self.book, self.relay, self.most_lanes = site, book, relay, most_lanes
         self.route = None  # set by it
         self.board, self.looked = None, 0  # the board, set by who has both; when a hop last looked at it
-        self.doubt = None  # where routers settle things: whether a server may not be used at this moment
-        self.purged: dict = {}  # by object or group: (number of the latest purge told, when)
-        self.purges = 0
+        self.rules = AttemptRules(site.connect_timeout)
+        self.refused: dict[str, int] = {}  # attempts that did not go out, by reason
+        self.outstanding: dict[int, Hop] = {}  # the attempt of each request that has gone out and has not ended
         self.broke = 0  # when a connection last broke under hops
         self.lock = threading.Lock()
         self.lanes: dict[str, list[Lane]] = {}
-        self.servers: dict[str, tuple[tuple[str, int], str]] = {}  # addresses and states as listed
+        self.servers = self.rules.endpoints
         # One hop outstanding at a time: by txn, the one given up of which its server was not told yet, and the next, which waits.
         self.untold: dict[int, Hop] = {}
         self.behind: dict[int, Hop] = {}
 
     def listed(self, name: str, address: tuple[str, int], state: str) -> None:
-        if state == "gone":  # forgotten, and with it where it was
-            self.servers.pop(name, None)
+        before = self.servers.get(name)
+        self.rules.listed(name, address, state)
+        if before is None or before.state != state:
+            log.info("endpoint", extra={"kv": {"server": name, "state": state, "was": before.state if before else "-"}})
+        if name not in self.servers:
             with self.lock:
                 lanes = list(self.lanes.get(name, ()))
             for lane in lanes:
                 lane.look()
-        else:
-            self.servers[name] = (address, state)
 
     def hop(self, hop: Hop) -> Lane | None:
         """The hop waits in the lane given back, to be pumped; its end is reported later, whatever happens."""
@@ -76,7 +78,7 @@
                 log.warning("lanes_full", extra={"kv": {"server": hop.server, "lanes": self.most_lanes}})
                 return None
             try:
-                lanes.append(Lane(self, hop.server, self.servers[hop.server][0]))
+                lanes.append(Lane(self, hop.server, self.servers[hop.server].address))
             except (RuntimeError, OSError) as wrong:  # the system gives no further thread or descriptor
                 log.error("no_lane", extra={"kv": {"server": hop.server, "why": str(wrong)}})
                 return best
@@ -101,15 +103,13 @@
         """Whoever claims a hop reports its one end."""
         with self.lock:
             first, hop.ended = not hop.ended, True
+            if self.outstanding.get(hop.ident) is hop:
+                del self.outstanding[hop.ident]
             return first
 
     def purge_told(self, obj: str | None, group: int) -> None:
-        """Hops decided before, and not written, would ask for copies too old; those older than a connection may take
-        to come up are not written at all, so a purge need not be kept for longer."""
-        now, self.purges = time.monotonic_ns() + EPOCH, self.purges + 1
-        for key in [key for key, (_, told) in self.purged.items() if now - told > self.site.connect_timeout]:
-            del self.purged[key]
-        self.purged[obj if obj is not None else group] = self.purges, now
+        """Attempts decided before, and not written, would ask for copies too old."""
+        self.rules.purge_told(obj if obj is not None else group, time.monotonic_ns() + EPOCH)
         self.sift()
 
     def sift(self) -> None:
@@ -118,16 +118,6 @@
         for lane in lanes:
             lane.sift()
 
-    def stale(self, hop: Hop, now: int) -> bool:
-        """What was right when the hop was decided no longer is: its server, its source, the age of a copy that will do, the time
-        by which it has to go out; or it has waited for as long as a connection may take to come up."""
-        servers = self.servers
-        return (servers.get(hop.server, GONE)[1] != "up" or now - hop.asked > self.site.connect_timeout or now > hop.go_by
-                or (hop.source is not None and servers.get(hop.source, GONE)[1] != "up")
-                or (self.doubt is not None and (self.doubt(hop.server) or hop.source is not None and self.doubt(hop.source)))
-                or (bool(self.purged) and hop.want is not None
-                    and max(self.purged.get(hop.want.obj, NONE)[0], self.purged.get(hop.group, NONE)[0]) > hop.purges))
-
     def begin(self, hop: Hop) -> bool:
         """Just before a hop is written: it may have been given up, or not be right any more, or its client may have gone: of a txn
         that has waited, a close, reset or withdrawal may lie unread in the socket. What lies there is for the client's own reader,
@@ -139,7 +129,7 @@
         if hop.ended:
             return False
         if now - hop.lane.heard > LOOK_IDLE and hop.lane.over():
-            self.take_back(hop)
+            self.take_back(hop, Refusal.CONNECTION_ENDED)
             return False
         if hop.want is not None:
             txn = self.book.open.get(hop.ident)  # gone: withdrawn by its reader, and the Router has not heard of it yet
@@ -151,7 +141,7 @@
                         self.route.post(self.route.withdrawn, txn.ident)
                     txn = None
             if txn is None:
-                self.take_back(hop)
+                self.take_back(hop, Refusal.CLIENT_LEFT)
                 return False
         with self.lock:
             if hop.ended:
@@ -159,13 +149,23 @@
             if hop.ident in self.untold and self.untold[hop.ident].lane is not hop.lane:
                 self.behind[hop.ident] = hop
                 return False
-            if not self.stale(hop, now):
+            refusal = self.rules.refusal(hop, now)
+            if refusal is None:
                 hop.written = now
+                if hop.want is not None:
+                    before = self.outstanding.get(hop.ident)
+                    if before is not None and before is not hop:
+                        holds(False, "one attempt of a request outstanding", txn=hop.name, attempt=hop.number)
+                    self.outstanding[hop.ident] = hop
                 return True
-        self.take_back(hop)
+        self.take_back(hop, refusal)
         return False
 
-    def take_back(self, hop: Hop) -> None:
+    def take_back(self, hop: Hop, reason: Refusal) -> None:
+        """The attempt does not go out: it never ran."""
+        self.refused[reason] = self.refused.get(reason, 0) + 1
+        if log.isEnabledFor(logging.DEBUG):
+            log.debug("refused", extra={"kv": {"txn": hop.name, "attempt": hop.number, "server": hop.server, "why": reason.value}})
         with hop.lane.lock:
             hop.lane.open.pop(hop.name, None)
         self.ended(hop, "unsent")
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -14,15 +14,13 @@
 from fieldspur.net.book import Answer, Book
 from fieldspur.net.now import AWAY, EPOCH, looks_at
 from fieldspur.net.relay import Outlet, Relay
+from fieldspur.permissions import ClientState, CloseReason, close_reason
 from fieldspur.site import MS
 
 log = logging.getLogger("fieldspur.takein")
 MOST_STREAMS = 32  # open on one connection
 MOST_AHEAD = 4096  # streams used out of order
-# Seconds. Clients that use a router as the protocol says send a frame at once and close after 4 s without a request;
-# others are owed an end within 3 s, or 6 s with 60 MB to send.
-FRAME_WAIT, IDLE_WAIT, AFTER_WAIT, LOOK_EVERY = 2.0, 5.0, 0.5, 0.2
-IDLE, HALF, AFTER = "idle", "half a frame", "shut"  # why a connection is closed that brings nothing, or no end of what it began
+LOOK_EVERY = 0.2
 MOST_AFTER = 1 << 20  # bytes read on after what can't be read
 MOST_BEHIND = 4  # further reads before what was taken is handed over, while more lies there
 BACKLOG = 512
@@ -142,20 +140,11 @@
         turn before their readers. A request there is owed its answer."""
         return self.sock.fileno() >= 0 and any(event == select.POLLIN for _, event in looks_at(self.sock).poll(0))
 
-    def overdue(self, now: float) -> str:
+    def overdue(self, now: float) -> CloseReason | None:
         """Why it is to be closed now, if it is."""
-        waited, idle = now - self.since, now - self.outlet.idle_since
-        if self.outlet.shut_at:
-            return AFTER if now - self.outlet.shut_at > AFTER_WAIT else ""
-        if self.outlet.streams:
-            return HALF if self.held and waited > FRAME_WAIT else ""
-        if self.outlet.writing:
-            return "takes no answers" if idle > self.takein.gone_after_ms / 1e3 else ""
-        if self.failed:
-            return "unreadable" if waited > AFTER_WAIT else ""
-        if self.held:
-            return HALF if waited > FRAME_WAIT else ""
-        return IDLE if idle > (IDLE_WAIT if self.proved else FRAME_WAIT) else ""
+        outlet = self.outlet
+        return close_reason(ClientState(outlet.shut_at, bool(outlet.streams), outlet.writing, self.failed, self.held, self.since,
+                                        outlet.idle_since, self.proved), now, self.takein.gone_after_ms / 1e3)
 
 
 class TakeIn:
@@ -167,6 +156,7 @@
         self.ready = self.over = False  # over: the program's end has begun
         self.spare = max(2, most_clients // 16)
         self.clients: set[Client] = set()
+        self.closed_for: dict[CloseReason, int] = {}  # connections closed by this side, by reason
         self.lock = threading.Lock()
         self.room = threading.Condition(self.lock)  # told when a descriptor is free
         self.listener = socket.socket()
@@ -192,6 +182,7 @@
         """A connection that was accepted gets its reader, or is closed where there is no room."""
         if len(self.clients) >= self.most_clients and not self.make_room():
             log.warning("clients_full", extra={"kv": {"clients": len(self.clients)}})
+            self.closed_for[CloseReason.DESCRIPTORS] = self.closed_for.get(CloseReason.DESCRIPTORS, 0) + 1
             sock.close()
             return
         try:
@@ -219,8 +210,9 @@
         with self.lock:
             clients = list(self.clients)
         for client in clients:
-            if (why := client.overdue(now)) and not (why in (IDLE, HALF) and client.unread()):
-                log.info("closed", extra={"kv": {"why": why}})
+            why = client.overdue(now)
+            if why and not (why in (CloseReason.IDLE, CloseReason.HALF_FRAME) and client.unread()):
+                self.closing_for(client, why)
                 if client.outlet.shut_at:
                     client.outlet.cut_off()
                 elif client.outlet.streams:
@@ -230,6 +222,11 @@
                 else:
                     client.outlet.shut_if_idle()
 
+    def closing_for(self, client: Client, why: CloseReason) -> None:
+        """Counts and logs why a client's connection is shut or cut off."""
+        self.closed_for[why] = self.closed_for.get(why, 0) + 1
+        log.info("closed", extra={"kv": {"why": why.value, "open": len(client.outlet.streams), "held": client.held}})
+
     def make_room(self, none: bool = False) -> bool:
         """Whether there is a descriptor for one more. Each counts until it is free: beyond `most_clients` there are `spare` for
         those whose side was shut and who have not closed theirs yet. One without a txn is shut: of those that never sent a request
@@ -239,6 +236,7 @@
             for client in sorted((c for c in self.clients if not c.outlet.streams and not c.outlet.shut_at),
                                  key=lambda c: (c.proved, c.outlet.idle_since)):
                 if not client.unread() and client.outlet.shut_if_idle():
+                    self.closing_for(client, CloseReason.DESCRIPTORS)
                     break
             shut = sorted((c for c in self.clients if c.outlet.shut_at), key=lambda c: c.outlet.shut_at)
             most = len(self.clients) if none else self.most_clients + self.spare
@@ -256,6 +254,7 @@
             most = max(self.clients, key=lambda c: c.held, default=None) if self.bytes > self.most_bytes else None
         if most is not None:
             log.warning("frames_full", extra={"kv": {"bytes": self.bytes}})
+            self.closing_for(most, CloseReason.FRAME_MEMORY)
             most.outlet.cut_off()
 
     def withdraw(self, ident: int, left: bool = False) -> None:
--- /dev/null
+++ b/fieldspur/permissions.py
@@ -0,0 +1,208 @@
+"""Whether something may be sent, repeated, closed or started now: the one place that says so, for every path of the program.
+
+Each question is a function or a small class that is free of I/O and is told all that it needs. A refusal is a member of an enum, so
+that callers can count and log its reason. Times are whole nanoseconds unless a name ends in `_s`; `docs/design/promises.md` lists the
+promises behind the answers."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from fieldspur.record import record
+
+MS = 1_000_000
+NEVER = 1 << 62
+UP, GONE = "up", "gone"
+REPEAT_MARGIN = 50 * MS  # a repeat's way from its write to its server: what the protocol allows for each time limit
+FRAME_WAIT_S = 2.0  # for the rest of a frame that has begun
+IDLE_WAIT_S = 5.0  # clients close by themselves after 4 s without a request
+AFTER_SHUT_S = 0.5  # for a client's own close after this side was shut
+
+
+class Refusal(str, Enum):
+    """Why an attempt may not go out, or a request not be taken or sent again."""
+
+    SERVER_NOT_UP = "server_not_up"
+    SOURCE_NOT_UP = "source_not_up"
+    PLACEMENT_IN_DOUBT = "placement_in_doubt"  # the fleet may have given the server out for maintenance
+    PURGED_SINCE = "purged_since"  # it would ask for a copy older than a purge
+    WAITED_TOO_LONG = "waited_too_long"  # for its connection
+    TOO_LATE_TO_GO = "too_late_to_go"  # past the repeat window, or the span of a slow start that it was charged to
+    DEADLINE_OVER = "deadline_over"
+    CLIENT_LEFT = "client_left"
+    CONNECTION_ENDED = "connection_ended"
+    NOT_IDEMPOTENT = "not_idempotent"
+    REPEAT_WINDOW_OVER = "repeat_window_over"
+    OTHER_REPEAT_GROUP = "other_repeat_group"
+    OPEN_REQUESTS = "open_requests"  # as many as the settings allow
+    EVENTS_BEHIND = "events_behind"
+    BODY_MEMORY = "body_memory"
+
+
+class GiveUp(str, Enum):
+    """Why a request is given up: its final answer is "refused" or "failed" at once."""
+
+    TOO_LARGE = "too_large"  # to be sent in its time
+    OUT_OF_TIME = "out_of_time"
+    ATTEMPTS_SPENT = "attempts_spent"
+    NO_SERVER = "no_server"  # none may be used, or all are too crowded for what it is worth
+    NO_SOURCE = "no_source"
+    NOT_RETRIED = "not_retried"  # its attempt failed, and a further one is not worth it, or not left
+    PROGRAM_ENDS = "program_ends"
+
+
+class CloseReason(str, Enum):
+    """Why a client's connection is shut or cut off."""
+
+    IDLE = "idle"
+    HALF_FRAME = "half a frame"
+    AFTER_SHUT = "shut"  # the client does not close its side
+    NO_READER = "takes no answers"
+    UNREADABLE = "unreadable"
+    FRAME_MEMORY = "frame memory"
+    DESCRIPTORS = "descriptors"
+    NO_THREAD = "no thread"
+    NO_OPTIONS = "no options"  # it was reset before it came here
+
+
+# Attempts.
+
+
+@record(frozen=True)
+class Endpoint:
+    """Where a listed server is, and its state as discovery tells it."""
+
+    address: tuple[str, int]
+    state: str
+
+
+class AttemptRules:
+    """What an attempt depends on until it is written: states of endpoints, purges, and how long a dial may take."""
+
+    def __init__(self, dial_limit: int):
+        self.dial_limit = dial_limit
+        self.endpoints: dict[str, Endpoint] = {}  # as listed, by name
+        self.in_doubt = None  # where routers settle things among themselves: whether an endpoint may not be used now
+        self.purges = 0  # told so far
+        self.purged: dict = {}  # by object or group: (number of the latest purge, when it was told)
+
+    def listed(self, name: str, address: tuple[str, int], state: str) -> None:
+        """Discovery told of an endpoint; one that is gone is forgotten, and with it where it was."""
+        if state == GONE:
+            self.endpoints.pop(name, None)
+        else:
+            self.endpoints[name] = Endpoint(address, state)
+
+    def purge_told(self, key: str | int, now: int) -> None:
+        """Attempts decided before, and not written, would ask for copies too old. One older than a dial may take is not written at all, so
+        a purge is forgotten after that."""
+        for old in [old for old, (_, told) in self.purged.items() if now - told > self.dial_limit]:
+            del self.purged[old]
+        self.purges += 1
+        self.purged[key] = self.purges, now
+
+    def refusal(self, attempt, now: int) -> Refusal | None:
+        """Why an attempt that was decided a while ago may not go out now. `attempt` has server, source, asked, go_by, cut_at, group,
+        purges and want (None for a probe)."""
+        endpoint = self.endpoints.get(attempt.server)
+        if endpoint is None or endpoint.state != UP:
+            return Refusal.SERVER_NOT_UP
+        if now - attempt.asked > self.dial_limit:
+            return Refusal.WAITED_TOO_LONG
+        if now > attempt.go_by:
+            return Refusal.TOO_LATE_TO_GO
+        source = attempt.source
+        if source is not None:
+            endpoint = self.endpoints.get(source)
+            if endpoint is None or endpoint.state != UP:
+                return Refusal.SOURCE_NOT_UP
+        if self.in_doubt is not None and (self.in_doubt(attempt.server) or source is not None and self.in_doubt(source)):
+            return Refusal.PLACEMENT_IN_DOUBT
+        if self.purged and attempt.want is not None and attempt.purges < max(
+                self.purged.get(attempt.want.obj, (0, 0))[0], self.purged.get(attempt.group, (0, 0))[0]):
+            return Refusal.PURGED_SINCE
+        return None
+
+
+# Repeats.
+
+
+def repeat_refusal(rule, ran: list, server, now: int) -> Refusal | None:
+    """Why a request may not go to `server` after the attempts in `ran`, each of which may have run: an effect would happen twice."""
+    if not ran or rule.kind == "repeatable":
+        return None
+    if rule.kind == "unrepeatable":
+        return Refusal.NOT_IDEMPOTENT
+    if now - ran[0].sent >= rule.remembered - REPEAT_MARGIN:
+        return Refusal.REPEAT_WINDOW_OVER
+    same = all(rule.group == "all" or (rule.group == "zone" and server.zone == attempt.server.zone)
+               or (rule.group == "cell" and server.cell == attempt.server.cell) for attempt in ran)
+    return None if same else Refusal.OTHER_REPEAT_GROUP
+
+
+def last_repeat(rule, ran: list) -> int:
+    """By when a further attempt has to be written; NEVER where nothing limits it."""
+    if rule.kind != "keyed" or not ran:
+        return NEVER
+    return min(attempt.sent for attempt in ran) + rule.remembered - REPEAT_MARGIN
+
+
+def may_promise_no_effect(rule, ran: list) -> bool:
+    """Whether "refused", which says that trying again is harmless, may be answered after the attempts in `ran`."""
+    return rule.kind == "repeatable" or not ran or (rule.kind == "keyed" and rule.group == "all")
+
+
+# Requests.
+
+
+def take_refusal(open_requests: int, most_open: int, queued: int, most_queued: int, body_bytes: int,
+                 most_bytes: int) -> Refusal | None:
+    """Why a further request is refused at once. `body_bytes`: of all open ones, this one included."""
+    if open_requests >= most_open:
+        return Refusal.OPEN_REQUESTS
+    if queued >= most_queued:
+        return Refusal.EVENTS_BEHIND
+    if body_bytes > most_bytes:
+        return Refusal.BODY_MEMORY
+    return None
+
+
+# Clients' connections.
+
+
+@record()
+class ClientState:
+    """A client's connection as the sweep sees it; times in seconds of one clock."""
+
+    shut_at: float  # since when this side is shut, 0 while it is not
+    open_requests: bool
+    writing: bool  # answers wait for the client to read
+    failed: bool  # it sent what can't be read
+    held: int  # bytes of an unfinished frame
+    since: float  # when that frame began, or the connection could not be read, or was accepted
+    idle_since: float  # when something was last written
+    proved: bool  # has sent a request that could be used
+
+
+def close_reason(client: ClientState, now: float, no_reader_s: float) -> CloseReason | None:
+    """Why a connection is to be closed now, if it is. One that owes an answer is never closed for being slow alone."""
+    waited, idle = now - client.since, now - client.idle_since
+    if client.shut_at:
+        return CloseReason.AFTER_SHUT if now - client.shut_at > AFTER_SHUT_S else None
+    if client.open_requests:
+        return CloseReason.HALF_FRAME if client.held and waited > FRAME_WAIT_S else None
+    if client.writing:
+        return CloseReason.NO_READER if idle > no_reader_s else None
+    if client.failed:
+        return CloseReason.UNREADABLE if waited > AFTER_SHUT_S else None
+    if client.held:
+        return CloseReason.HALF_FRAME if waited > FRAME_WAIT_S else None
+    return CloseReason.IDLE if idle > (IDLE_WAIT_S if client.proved else FRAME_WAIT_S) else None
+
+
+# The program's end.
+
+
+def may_exit(all_shut: bool, open_requests: int, answers_owed: bool) -> bool:
+    """Whether an ending program may leave: nothing can be taken any more, and nothing is owed."""
+    return all_shut and not open_requests and not answers_owed
--- a/tests/test_first_bytes.py
+++ b/tests/test_first_bytes.py
@@ -427,6 +427,6 @@
         notices.tell(2, pool={"endpoints": [endpoint("c1", cache.address)]})
         notices.tell(3, flush={"collection": 7, "ms": time.time_ns() // MS})
         until(lambda: notices.sent == [2, 3])
-        route.queue.append((lambda: seen.append((send.purges, "c1" in send.servers)), (), clock()))
+        route.queue.append((lambda: seen.append((send.rules.purges, "c1" in send.servers)), (), clock()))
     until(lambda: seen)
     assert seen == [(1, True)]
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -589,7 +589,7 @@
 def test_bodies_that_no_memory_is_left_for_are_refused_at_once():
     here, there = socket.socketpair()
     site, outlet = deployment(settings()), Outlet(here, encode, Relay(1 << 20))
-    admit = Admit(site, Book(), SimpleNamespace(full=lambda: False, arrived=None, behind=0, post=lambda *about: None), 1000)
+    admit = Admit(site, Book(), SimpleNamespace(queue=(), most_queued=512, arrived=None, behind=0, post=lambda *about: None), 1000)
     for stream in (1, 2):
         admit.request(Request(stream, "media", "%016x" % stream, 10**9, None, "0" * 16, 0, 1, 1.0, None, b"x" * 600),
                       outlet, clock())
@@ -618,7 +618,7 @@
     here, there = socket.socketpair()
     send = sender(quiet.address)
     route = Route(send.site, 1, send.book, send.relay, send)
-    row = Listed("c0", send.servers["c0"][0], "east", "std", 0, "up", 50.0, 0)
+    row = Listed("c0", send.servers["c0"].address, "east", "std", 0, "up", 50.0, 0)
     route.list_told(ListChange(True, (row,)), now=True)
     outlet = Outlet(here, encode, route.relay)
     outlet.streams[1] = 1
