fieldspur lab soak: random overlapping faults on real processes, judged by invariants at the sockets

A seed draws 10 to 32 router processes, servers, load, clients that cancel, leave, hurry and reconnect, and faults of which two to four overlap: servers, routers (SIGTERM, SIGKILL, SIGSTOP, SIGHUP), discovery, fault proxies before servers and discovery, and a shim (C, LD_PRELOAD, built on demand) for failing accept, socket, connect, EINTR, short reads and writes, ETIMEDOUT, late dials and a stepped wall clock.

--- a/fieldspur/cli.py
+++ b/fieldspur/cli.py
@@ -235,6 +235,32 @@
     raise SystemExit(0 if found["passed"] else 1)
 
 
+@lab.command("soak")
+@click.option("--seed", type=int, default=1, show_default=True, help="Which troubles come, to whom and when.")
+@click.option("--seconds", type=click.FloatRange(10, 86_400), default=30.0, show_default=True, help="Of load and troubles.")
+@click.option("--routers", type=click.IntRange(1, 40), help="Another number than the seed's, 10 to 32.")
+@click.option("--only", help="Play only these of the seed's faults, by number from 0: 0,3,4.")
+@click.option("--build", type=click.Path(exists=True, file_okay=False), help="Another checkout of fieldspur to run.")
+@click.option("--logs", type=click.Path(file_okay=False), help="Keep the routers' logs in this folder.")
+@click.option("--json", "as_json", is_flag=True, help="All figures as JSON; without it, the main ones as a table.")
+def lab_soak(seed, seconds, routers, only, build, logs, as_json) -> None:
+    """Random troubles that overlap, on real processes and sockets, replayable by the seed. Code 1 where an invariant broke."""
+    from fieldspur.lab.judge import report as reporting
+    from fieldspur.lab.plays import play
+    from fieldspur.lab.soak import play as soaking
+
+    try:
+        chosen = tuple(int(word) for word in only.split(",")) if only else ()
+    except ValueError:
+        raise Bad(f"--only: {only}: numbers separated by commas wanted") from None
+    try:
+        found = soaking.soak(seed, seconds, routers, chosen, build, logs)
+    except play.LabFailed as wrong:
+        raise click.ClickException(str(wrong)) from None
+    click.echo(json.dumps(found) if as_json else reporting.text(found))
+    raise SystemExit(0 if found["passed"] else 1)
+
+
 @lab.command("compare")
 @click.argument("first", type=click.Path(exists=True))
 @click.argument("second", type=click.Path(exists=True))
--- a/fieldspur/lab/emulate/loop.py
+++ b/fieldspur/lab/emulate/loop.py
@@ -12,6 +12,7 @@
 from typing import Callable
 
 READ = 262_144
+STALL_LEAST, STALLS_KEPT = 2_000_000, 1_500_000_000  # ns: turns that are noted, and for how long
 MOST_HELD = 32 << 20  # bytes that a connection's other end may leave unread
 
 
@@ -22,7 +23,21 @@
         self.order = itertools.count()
         self.stopped = False
         self.lag = 0  # the longest that a timer waited
-        self.clock = time.time_ns()
+        self.clock = self.turned = time.time_ns()
+        self.stalls: deque = deque()  # (when, how long) of turns in the last moments that others waited for
+
+    def stall(self) -> int:
+        """How late this process may be about what it sees now: the longest of its turns in the last moments."""
+        now = time.time_ns()
+        while self.stalls and self.stalls[0][0] < now - STALLS_KEPT:
+            self.stalls.popleft()
+        return max(now - self.turned, max((took for _, took in self.stalls), default=0))
+
+    def turn_over(self, late: int) -> None:
+        """A turn of events and timers is over; timers waited for so long before it."""
+        took = max(late, time.time_ns() - self.turned)
+        if took > STALL_LEAST:
+            self.stalls.append((self.turned + took, took))
 
     def now(self) -> int:
         return self.clock
@@ -37,16 +52,20 @@
         while not self.stopped:
             self.clock = time.time_ns()
             wait = min(0.1, max(0.0, (self.timers[0][0] - self.clock) / 1e9)) if self.timers else 0.1
-            for key, events in self.chosen.select(wait):
+            events, late = self.chosen.select(wait), 0
+            self.turned = time.time_ns()
+            for key, event in events:
                 self.clock = time.time_ns()
-                key.data(events)
+                key.data(event)
             self.clock = time.time_ns()
             for _ in range(200):  # then sockets have their turn
                 if not self.timers or self.timers[0][0] > self.clock:
                     break
                 due, _, what = heapq.heappop(self.timers)
-                self.lag = max(self.lag, self.clock - due)
+                late = max(late, self.clock - due)
                 what()
+            self.lag = max(self.lag, late)
+            self.turn_over(late)
 
     def listen(self, accepted: Callable, port: int = 0, window: int = 0, segment: int = 0) -> socket.socket:
         """A listener on loopback; `accepted(conn)` gets each connection and sets what is to be called. `window`: bytes
--- a/fieldspur/lab/emulate/servers.py
+++ b/fieldspur/lab/emulate/servers.py
@@ -13,7 +13,7 @@
 from fieldspur.lab.emulate.faults import Faults
 from fieldspur.lab.emulate.loop import Conn, Loop
 from fieldspur.lab.emulate.model import MS, SECOND, Asked, Server, Store
-from fieldspur.lab.judge.check import Checker
+from fieldspur.lab.judge.check import Checker, Hop
 
 LINE_EVERY = SECOND  # the board's last number
 LOOK_QUEUES = 10 * MS  # at what is written to a server that reads nothing
@@ -26,6 +26,7 @@
         self.world, self.model, self.kind = world, model, kind
         self.conns: set[Conn] = set()
         self.open: dict[tuple, Asked] = {}
+        self.entries: dict[tuple, Hop] = {}  # the checker's, of those
         self.garble = 0.0  # share of good answers that arrive spoilt
         self.random = random.Random(f"{world.plan.seed} {model.name} front")
         self.listener = self.listen()
@@ -37,7 +38,7 @@
 
     def accepted(self, conn: Conn) -> None:
         self.conns.add(conn)
-        conn.times = deque()
+        conn.times = self.world.times_of(conn)
         conn.on_data = lambda held: self.data(conn, held)
         conn.on_close = lambda: self.closed(conn)
         conn.paused = self.model.silent
@@ -45,16 +46,14 @@
     def closed(self, conn: Conn) -> None:
         self.conns.discard(conn)
         for spot in [spot for spot in self.open if spot[0] is conn]:
-            self.open.pop(spot).give_up()
+            self.gave_up(spot)
 
     def data(self, conn: Conn, held: bytearray) -> None:
         try:
             base = conn.total - len(held)
             for at, items in wire.commands(held):
                 if items[0] == b"never_mind":
-                    asked = self.open.pop((conn, items[1].decode()), None)
-                    if asked is not None:
-                        asked.give_up()
+                    self.gave_up((conn, items[1].decode()))
                 elif items[0] == b"want":
                     self.want(conn, items[1].decode(), items[2].decode(), conn.first(base + at))
                 elif items[0] == b"busy" and not self.model.silent:
@@ -63,6 +62,14 @@
             self.world.checker.broke(1, f"{self.model.name} was sent what is not of the protocol: {wrong}")
             conn.reset()
 
+    def gave_up(self, spot: tuple) -> None:
+        """Nobody waits for the attempt any more."""
+        asked, entry = self.open.pop(spot, None), self.entries.pop(spot, None)
+        if asked is not None:
+            asked.give_up()
+        if entry is not None:
+            entry.end = entry.end or "GIVEN_UP"
+
     def meter(self) -> str:
         load = self.model.load()
         return "meter=" + ";".join(f"{name}:{load[name]}" for name in ("active", "cpu", "x0", "x1"))
@@ -71,12 +78,14 @@
         world, now = self.world, self.world.loop.now()
         fields = dict(pair.split("=", 1) for pair in text.split(","))
         entry = world.checker.hop(self.model.name, fields.get("miss"), ident, now, first)
+        world.checker.passed_on(ident, int(fields["limit"]), first)
         rule, obj, part = fields["cls"], fields["item"], int(fields["chunk"])
         flags = fields.get("f", "").split("+")
         source = world.models.get(fields["miss"]) if "miss" in fields else None
 
         def end(word: str, note: str, waited: int, copy) -> None:
             self.open.pop((conn, ident), None)
+            self.entries.pop((conn, ident), None)
             if entry is not None:
                 entry.end = word
             told = [f"tell={note}"] if note else []
@@ -96,6 +105,9 @@
                       int(fields.get("prio", 0)), int(fields.get("within", 0)) * MS, "collapse" in flags,
                       "only-if-cached" not in flags, catalog.kind(rule) == "repeatable", end, ident)
         self.open[conn, ident] = asked
+        if entry is not None:
+            self.entries[conn, ident] = entry
+        world.checker.worked(self.model.time_of(asked.kb))
         self.model.ask(asked)
 
     def spoil(self, data: bytes) -> bytes:
@@ -151,12 +163,12 @@
         conn.on_data, conn.on_close = data, lambda: self.watchers.pop(conn, None)
 
     def send(self, conn: Conn) -> None:
-        for event in self.events[self.watchers[conn]:]:
-            conn.write(json.dumps(event).encode() + b"\n")
+        conn.write(b"".join(json.dumps(event).encode() + b"\n" for event in self.events[self.watchers[conn]:]))
         self.watchers[conn] = len(self.events)
 
-    def tell(self, **event) -> None:
-        self.events.append({"rev": len(self.events) + 1, **event})
+    def tell(self, *events: dict) -> None:
+        for event in events:
+            self.events.append({"rev": len(self.events) + 1, **event})
         for conn in list(self.watchers):
             self.send(conn)
 
@@ -208,9 +220,17 @@
         model = self.models[name]
         if name == "store":
             return endpoint("store", self.store_listener.getsockname()[1], "origin")
-        return endpoint(name, self.fronts[name].port, model.kind, status=status, weight=model.rating,
+        return endpoint(name, self.port_of(name), model.kind, status=status, weight=model.rating,
                         since_ms=model.started // MS)
 
+    def port_of(self, name: str) -> int:
+        """Where routers connect to a server."""
+        return self.fronts[name].port
+
+    def times_of(self, conn: Conn) -> deque:
+        """Where it is kept when the bytes of a connection to a server were handed over."""
+        return deque()
+
     def kb_of(self, rule: str, obj: str, part: int) -> float:
         return round(self.middle[rule] * catalog.spread(obj, part), 1)
 
@@ -224,21 +244,21 @@
         now = self.loop.now()
         for name in names:
             self.checker.told(name, "up" if status == "up" else status, now)
-        self.board.tell(pool={"index": 1, "snapshot": False, "endpoints": [self.row(name, status) for name in names]})
+        self.board.tell({"pool": {"index": 1, "snapshot": False, "endpoints": [self.row(name, status) for name in names]}})
 
     def down(self, name: str) -> None:
         self.fronts[name].down()
 
     def back(self, name: str) -> None:
         self.fronts[name].back()
+        self.checker.started(name, self.loop.now())
         self.tell([name], "up")
 
     def quiet(self, name: str, yes: bool, stopped: bool) -> None:
         self.fronts[name].quiet(yes, stopped)
 
     def purge_told(self, group: int, now: int) -> None:
-        for one in range(256) if group < 0 else (group,):
-            self.board.tell(flush={"collection": one, "ms": now // MS})
+        self.board.tell(*({"flush": {"collection": one, "ms": now // MS}} for one in (range(256) if group < 0 else (group,))))
         self.checker.purged(None, group, now, self.loop.now())
 
     def other(self, fault, names: list[str]):
--- a/fieldspur/lab/judge/check.py
+++ b/fieldspur/lab/judge/check.py
@@ -24,6 +24,7 @@
     came: int  # whole
     first: int  # when its first byte was handed over by the router
     end: str = ""  # how it ended there
+    server: str = ""
 
 
 @dataclass(slots=True)
@@ -165,6 +166,15 @@
         one.hops.append(Hop(at, first))
         return one.hops[-1]
 
+    def passed_on(self, ident: str, limit_ms: int, first: int) -> None:
+        """A server was told of that time limit, its request's first byte written at `first`."""
+
+    def worked(self, work: int) -> None:
+        """A request of so much work came to a server."""
+
+    def started(self, name: str, at: int) -> None:
+        """The start of a server in slow start is told from now on."""
+
     def asked_of_cold(self, name: str, able: float, work: int, at: int) -> None:
         """So much was asked of a cold server, that now does `able` transfers at full pace; work in ns of one."""
         rows = self.cold.setdefault(name, deque())
--- a/fieldspur/lab/plays/load.py
+++ b/fieldspur/lab/plays/load.py
@@ -22,6 +22,8 @@
 class Line:
     """One client connection to a router."""
 
+    PATIENCE = 80 * MS  # past a request's time limit, its client waits no more
+
     def __init__(self, load: Load, router: int, slow: bool = False):
         self.load, self.router, self.slow = load, router, slow
         self.stream, self.open, self.leaving = 0, {}, False
@@ -46,10 +48,14 @@
             load.checker.sent(self, self.stream, one)
         self.conn.write(wire.request(self.stream, fields, load.bodies[txn.rule] if txn.kind != "repeatable" else b""))
         if not self.slow:
-            load.loop.at(txn.limit_at + 80 * MS, lambda stream=self.stream: self.give_up(stream))
+            load.loop.at(txn.limit_at + self.PATIENCE, lambda stream=self.stream: self.expire(stream))
+
+    def expire(self, stream: int) -> None:
+        """The client's time is over."""
+        self.give_up(stream)
 
     def give_up(self, stream: int) -> None:
-        """The client's time is over: it waits no more."""
+        """The client waits no more."""
         txn = self.open.pop(stream, None)
         if txn is not None:
             self.load.checker.withdrew(self, stream, self.load.loop.now())
@@ -92,6 +98,8 @@
 
 
 class Load:
+    LINE = Line
+
     def __init__(self, loop: Loop, plan, checker: Checker, addresses: list[tuple[str, int]], begin: int,
                  kb_of: Callable):
         self.loop, self.plan, self.checker, self.addresses, self.begin = loop, plan, checker, addresses, begin
@@ -135,7 +143,7 @@
         lines = [line for line in self.lines[router] if not line.leaving and not line.slow]
         line = min(lines, key=lambda line: len(line.open), default=None)
         if line is None or line.open and len(lines) < self.plan.load.connections:
-            line = Line(self, router)
+            line = self.LINE(self, router)
             if line.conn.closed:
                 self.gone_until[router] = self.loop.now() + AWAY
                 return self.loop.later(AWAY, lambda: self.send(txn))
@@ -144,6 +152,10 @@
             return self.loop.later(20 * MS, lambda: self.send(txn))
         self.outcomes.tried += 1
         line.ask(txn)
+        self.asked(line, txn)
+
+    def asked(self, line: Line, txn: Txn) -> None:
+        """For loads whose clients do more than wait."""
 
     def left(self, line: Line) -> None:
         """A router said that it takes nothing new."""
--- a/fieldspur/lab/plays/play.py
+++ b/fieldspur/lab/plays/play.py
@@ -20,6 +20,7 @@
 from fieldspur.lab.judge.check import SECOND, Checker
 from fieldspur.lab.plays.load import Load
 
+WOKEN = SECOND // 2  # what a router owes that goes on after it was stopped, is late for so long
 READY_WAIT = 15.0  # seconds for a router to come up
 SAMPLE = SECOND // 2
 RECOVERED = 0.9  # of the worth before a fault
@@ -45,9 +46,13 @@
         self.env: dict[str, str] = {}  # on top of the usual
         self.killed = False  # by a fault
 
+    def board_port(self, board: Board) -> int:
+        """Where this router finds that discovery service."""
+        return board.port
+
     def write(self, board: Board) -> None:
         plan, servers = self.world.plan, self.world.plan.servers
-        conf = plain.node_file(self.address[1], board.port, [], name=f"n{self.number}", memory_mb=plan.memory_mb,
+        conf = plain.node_file(self.address[1], self.board_port(board), [], name=f"n{self.number}", memory_mb=plan.memory_mb,
                                sockets=plan.sockets, seed=f"{plan.seed * 100 + self.number + self.starts:x}",
                                routers=plan.routers, everywhere=plan.routers)
         conf["known"] = {"rev": len(board.events), "notices": list(board.events)}
@@ -55,8 +60,12 @@
                                                fallMultiple=servers.fall_multiple)
         conf["settings"]["familyInfo"] |= dict(upperColdFrom=servers.cold_share, parentRampUs=int(servers.ramp_s * 1e6),
                                                upperFallMultiple=servers.fall_multiple)
+        self.adjust(conf)
         self.path.write_text(json.dumps(conf))
 
+    def adjust(self, conf: dict) -> None:
+        """For runs whose settings differ."""
+
     def start(self) -> None:
         self.write(self.world.board)
         self.starts, self.killed = self.starts + 1, False
@@ -66,6 +75,9 @@
     def ready(self) -> bool:
         return ready(self.address[1])
 
+    def forget(self) -> None:
+        """What it keeps in a folder is lost."""
+
     def sample(self, second: float) -> None:
         try:
             seen = usage(self.process.pid)
@@ -94,21 +106,25 @@
 
 
 class Play:
-    NODE = Node
+    NODE, WORLD, LOAD = Node, World, Load
+
+    def make_checker(self) -> Checker:
+        return Checker(self.plan.servers.fall_multiple, routers=self.plan.routers)
 
     def __init__(self, plan, build: str | None, logs: str | None, command: list | None, live: Callable | None):
         self.plan, self.live = plan, live
         self.build = Path(build).resolve() if build else ROOT
         self.loop = Loop()
-        self.checker = Checker(plan.servers.fall_multiple, routers=plan.routers)
-        self.world = World(self.loop, plan, self.checker)
+        self.checker = self.make_checker()
+        self.world = self.WORLD(self.loop, plan, self.checker)
         self.folder = tempfile.TemporaryDirectory(prefix="fieldspur-lab-")
         folder = Path(logs) if logs else None
         if folder:
             folder.mkdir(parents=True, exist_ok=True)
         self.nodes = [self.NODE(n, self.world, Path(self.folder.name), self.build, command, folder)
                       for n in range(plan.routers)]
-        self.world.others = {"router_restart": self.router_restart, "reload": self.reload}
+        self.world.others = {"router_restart": self.router_restart, "reload": self.reload, "router_kill": self.kill,
+                             "router_pause": self.pause}
         self.load: Load | None = None
         self.curve: list[dict] = []
 
@@ -161,6 +177,30 @@
                 node.process.send_signal(signal.SIGHUP)
         self.loop.later(3 * SECOND // 2, old.close)
 
+    def routers(self, who: str) -> list[Node]:
+        return [self.nodes[int(word) % len(self.nodes)] for word in who.split(",")]
+
+    def kill(self, fault) -> None:
+        """They end at once and come back after `lasts`, with what they had in their folder unless `forget`."""
+        for node in self.routers(fault.who):
+            self.load.gone_until[node.number] = self.loop.now() + 3600 * SECOND
+            node.process.send_signal(signal.SIGCONT)
+            node.killed = True
+            node.process.kill()
+            node.process.wait()
+            if fault.forget:
+                node.forget()
+            if fault.lasts:
+                self.loop.later(int(fault.lasts * SECOND), lambda node=node: self.again(node))
+
+    def pause(self, fault) -> None:
+        for node in self.routers(fault.who):
+            ends = self.loop.now() + int(fault.lasts * SECOND)
+            self.load.gone_until[node.number] = ends  # the front takes it out
+            self.checker.asleep[node.number] = ends + WOKEN
+            node.process.send_signal(signal.SIGSTOP)
+            self.loop.at(ends, lambda node=node: node.process.send_signal(signal.SIGCONT))
+
     # The run.
 
     def run(self) -> dict:
@@ -190,7 +230,7 @@
     def go(self) -> None:
         self.loop.lag = 0
         self.begin = self.loop.now() + SECOND // 5
-        self.load = Load(self.loop, self.plan, self.checker, [node.address for node in self.nodes], self.begin,
+        self.load = self.LOAD(self.loop, self.plan, self.checker, [node.address for node in self.nodes], self.begin,
                          self.world.kb_of)
         for fault in self.plan.faults:
             self.loop.at(self.begin + int(fault.at * SECOND), lambda fault=fault: self.world.begin(fault))
--- a/fieldspur/lab/plays/rig.py
+++ b/fieldspur/lab/plays/rig.py
@@ -20,7 +20,6 @@
 HOST = "127.%d.%d.3" % (1 + os.getpid() // 250 % 250, 1 + os.getpid() % 250)  # else a link may connect to itself
 FOUND_WAIT = 15 * SECOND
 AGAIN = 100 * MS  # a member that does not publish is asked again
-WOKEN = 500 * MS  # what a router owes that goes on after it was stopped, is late for so long
 
 
 class Member(Node):
@@ -67,7 +66,7 @@
             * plan.servers.caches + 1e-9))
         self.orders = Orders(self.checker, plan.routers, self.open_at, max(1, most))
         self.orders.on_free = self.work_on
-        self.world.others |= {"router_kill": self.kill, "router_pause": self.pause, "router_hup": self.hup, "link_cut": self.cut,
+        self.world.others |= {"router_hup": self.hup, "link_cut": self.cut,
                               "link_stall": self.stall, "link_delay": self.delay, "link_lose": self.lose}
         self.hand: list = []
         self.hand_out: set[str] = set()
@@ -175,28 +174,7 @@
     def routers(self, who: str) -> list[Member]:
         if who == "acting":
             return [self.nodes[self.orders.acting[-1][1]]] if self.orders.acting else []
-        return [self.nodes[int(word) % len(self.nodes)] for word in who.split(",")]
-
-    def kill(self, fault) -> None:
-        """They end at once and come back after `lasts`, with what they had in their folder unless `forget`."""
-        for node in self.routers(fault.who):
-            self.load.gone_until[node.number] = self.loop.now() + 3600 * SECOND
-            node.process.send_signal(signal.SIGCONT)
-            node.killed = True
-            node.process.kill()
-            node.process.wait()
-            if fault.forget:
-                node.forget()
-            if fault.lasts:
-                self.loop.later(int(fault.lasts * SECOND), lambda node=node: self.again(node))
-
-    def pause(self, fault) -> None:
-        for node in self.routers(fault.who):
-            ends = self.loop.now() + int(fault.lasts * SECOND)
-            self.load.gone_until[node.number] = ends  # the front takes it out
-            self.checker.asleep[node.number] = ends + WOKEN
-            node.process.send_signal(signal.SIGSTOP)
-            self.loop.at(ends, lambda node=node: node.process.send_signal(signal.SIGCONT))
+        return super().routers(who)
 
     def hup(self, fault) -> None:
         for node in self.routers(fault.who):
--- a/fieldspur/lab/plays/scenario.py
+++ b/fieldspur/lab/plays/scenario.py
@@ -57,6 +57,10 @@
     bad_clients: float = 0.0  # connections a second that bring what can't be used
     slow_clients: int = 0  # connections at each router that read 4 KB a second
     waves: tuple[tuple[float, float], ...] = ()  # (from second, times the rate)
+    cancels: float = 0.0  # share of requests that their clients cancel early (soak)
+    hurried: float = 0.0  # share of requests with a short time limit (soak)
+    churn: float = 0.0  # share of answers after which a client closes its connection, where nothing is open on it (soak)
+    hang_ups: float = 0.0  # connections a second that clients close in the middle of their requests (soak)
 
 
 class Fault(Part, kw_only=True):
@@ -65,11 +69,15 @@
     at: float  # seconds from the start
     what: Literal["die", "silent", "stop", "slow", "reset", "garble", "late", "errors", "drain", "restart", "purge",
                   "store_slow", "router_restart", "board_break", "reload", "router_kill", "router_pause", "router_hup", "link_cut",
-                  "link_stall", "link_delay", "link_lose"]
+                  "link_stall", "link_delay", "link_lose", "net_delay", "net_pieces", "net_stall", "net_cut", "watch_stall", "watch_cut",
+                  "clock_step", "accept_fails", "socket_fails", "connect_fails", "interrupted", "short_io", "broken_io", "late_dials",
+                  "disk_fails"]
     who: str = ""  # a server's name, "caches", "parents", routers by number or "acting"; links: "0>1" (what 0 reads of 1), "0,1|2"
     share: float = 1.0  # of the servers that `who` names
     lasts: float = 0.0  # seconds after which it is over; 0: it stays
-    times: float = 10.0  # slow and store_slow: so many times longer; late: ms more
+    # slow and store_slow: so many times longer; late, net_delay and late_dials: ms more; clock_step: seconds; failing calls: so many of
+    # a thousand; net_cut: bytes until the cut
+    times: float = 10.0
     group: int = -1  # purge: of one group; below 0 all groups
     forget: bool = False  # router_kill: what it kept in its folder is lost
 
@@ -149,7 +157,7 @@
         raise BadFile(f"{at.strip('.`') or 'the file'}: {said}") from None
     except msgspec.DecodeError as wrong:
         raise BadFile(f"the file: not JSON ({wrong})") from None
-    for where, bad in (("seconds", plan.seconds <= plan.warm), ("routers", not 1 <= plan.routers <= 16),
+    for where, bad in (("seconds", plan.seconds <= plan.warm), ("routers", not 1 <= plan.routers <= 40),
                        ("servers.caches", not 1 <= plan.servers.caches <= 64),
                        ("servers.parents", not 0 <= plan.servers.parents <= 16), ("load.classes", not plan.load.classes)):
         if bad:
