--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,104 @@
+"""System calls that fail for a moment, and waits that change what a decision was made on: found by the soak, or by reading for it."""
+
+import errno
+import socket
+import time
+from types import SimpleNamespace
+
+import pytest
+
+import known_red
+from fieldspur.decide import MS
+from fieldspur.net.relay import Relay
+from fieldspur.net.takein import Client as ClientSide
+from helpers import Cache, clock, sender, until
+from test_crossings import entered, joins, stays, taken
+
+
+class Failing:
+    """A listener whose accept fails a few times before it does as it should."""
+
+    def __init__(self, listener, *numbers):
+        self.listener, self.numbers = listener, list(numbers)
+
+    def accept(self):
+        if self.numbers:
+            raise OSError(self.numbers.pop(0), "for a moment")
+        return self.listener.accept()
+
+    def __getattr__(self, name):
+        return getattr(self.listener, name)
+
+
+class Closing:
+    """A socket that its reader closes between two looks at its descriptor."""
+
+    def __init__(self):
+        self.looks = 0
+        self.sock = socket.socket()
+
+    def fileno(self):
+        self.looks += 1
+        return self.sock.fileno() if self.looks == 1 else -1
+
+
+# Known failures.
+
+
+@pytest.mark.parametrize("text", ["tests/test_x.py::test_a, no cause", "tests/test_x.py::test_a", ", cause, 35",
+                                  "\n".join(f"tests/test_x.py::test_{n}, slow, 35" for n in range(4))])
+def test_a_list_of_known_failures_that_can_not_be_used_is_refused(text):
+    with pytest.raises(ValueError):
+        known_red.rows(text)
+
+
+def test_a_known_failure_has_its_test_its_cause_and_its_issue():
+    assert known_red.rows("# none\n\ntests/test_x.py::test_a[b], late, by a lot, 35\n") == [
+        ("tests/test_x.py::test_a[b]", "late, by a lot", "35")]
+
+
+# Attempts that wait.
+
+
+def test_the_time_limit_passed_on_is_what_its_client_has_left_as_the_attempt_is_written(monkeypatch):
+    """Found by the soak (seeds 3, 6, 11, 12 of 2026-12-02): 3974 ms passed on where the client had 3748 left."""
+    cache = Cache(lambda want: None)
+    send = sender(cache.address)
+    first = taken_with_limit(send, 3000)
+    lane = send.hop(first)
+    until(lambda: lane.ready)
+    time.sleep(0.4)  # for its client's reader, or a full socket
+    lane.pump()
+    connect = socket.socket.connect
+    monkeypatch.setattr(socket.socket, "connect", lambda sock, where: (time.sleep(0.4), connect(sock, where)))
+    lane.retired = True
+    send.hop(taken_with_limit(send, 3000, ident=6)).pump()  # its connection comes up late
+    until(lambda: len(cache.wants) == 2)
+    assert all(2300 <= int(want["limit"]) <= 3000 - 400 + 150 for want in cache.wants)
+
+
+def taken_with_limit(send, left_ms, ident=5):
+    """An attempt of a request that was just taken and has so long left; its client stays."""
+    hop = taken(send, stays(send), ident=ident)
+    hop.want.limit_ms, hop.cut_at = left_ms, clock() + left_ms * MS
+    return hop
+
+
+# The listener.
+
+
+def test_an_accept_that_fails_as_the_listener_closes_leaves_nobody_in_the_backlog():
+    takein = entered()
+    clients = [joins(takein, accept=False) for _ in range(3)]
+    for stream, client in enumerate(clients, 1):
+        client.ask(stream)
+    takein.listener = Failing(takein.listener, errno.ECONNABORTED, errno.ENFILE)
+    takein.close()
+    until(lambda: sorted(takein.admit.taken) == [1, 2, 3], limit=3)
+
+
+def test_a_look_at_a_client_whose_reader_closes_its_socket_meanwhile_ends_nothing():
+    """The threads that look are the sweep, the listener's and the main one: an error in any of them ends the program."""
+    client = ClientSide(SimpleNamespace(relay=Relay(1 << 20), gone_after_ms=30_000), socket.socketpair()[0])
+    client.sock = Closing()
+    assert client.unread() is False
