--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -12,7 +12,7 @@
 from fieldspur.decide import MS
 from fieldspur.net.relay import Relay
 from fieldspur.net.takein import Client as ClientSide
-from helpers import Cache, clock, sender, until
+from helpers import Cache, SettableClock, clock, sender, until
 from test_crossings import entered, joins, stays, taken
 
 
@@ -90,6 +90,26 @@
     return hop
 
 
+# The wall clock.
+
+
+@pytest.mark.parametrize("step", [3600, 30, 3, -3, -3600])
+def test_a_purge_binds_however_the_wall_clock_was_stepped_before_it_was_told(run, tmp_path, step):
+    """Found by the soak (seed 116): by a clock that was 3 s ahead the purge seemed 3 s old, and copies made before it would do."""
+    wall, cache = SettableClock(tmp_path / "clock"), Cache()
+    service = run(cache, env=wall.env)
+    client = service.client()
+    client.ask(1)
+    assert client.get()[1:3] == (1, 79)
+    wall.set(step)
+    service.board.tell(2, flush={"collection": 7, "ms": int(time.time() * 1000)})
+    until(lambda: service.board.sent)
+    time.sleep(0.3)
+    client.ask(2)
+    assert client.get()[1:3] == (2, 79)
+    assert 0 < int(cache.wants[-1].get("within", 0)) < 2000
+
+
 # The listener.
 
 
