A purge that is told live is as young as its telling: no wall clock enters its age

Route.purged subtracted a Unix stamp of the board from this machine's wall clock as it stood in that moment. Stepped forward by 3 s the purge seemed 3 s old, by 30 s it bound no more. now.latest_time_of is the one place that says what another machine's stamp means: what is told while this process watches happened as it was told; what a file held at the start is as old as its stamp says, and never in the future. Cost: after an outage of discovery, copies made between a purge and its telling are fetched again.

--- a/fieldspur/net/now.py
+++ b/fieldspur/net/now.py
@@ -25,6 +25,16 @@
     return at + (time.monotonic_ns() + EPOCH - time.time_ns() + MS // 2) // MS * MS
 
 
+def latest_time_of(stamp: int, now: int, live: bool) -> int:
+    """When something that another machine stamped with its Unix time (ns) happened, by the program's clock, at the latest.
+
+    What was told while this process watched (`live`) had not happened long before, and is taken to have happened as it was told: no wall
+    clock enters, for this machine's and the other's may have been set meanwhile, by seconds or an hour. What a file held at the start may
+    be as old as its stamp says, by the wall clock as it stood then, and is never in the future. A purge that is taken to be younger than
+    it is, and a server that is taken to have started later than it did, cost a little; the other way round breaks a promise."""
+    return now if live else min(stamp, now)
+
+
 def looks_at(sock: socket.socket) -> select.poll:
     """To look whether bytes or the peer's end lie in a socket. For one thread at a time: the system's object refuses a look during
     another's, with an error that would end the program."""
--- a/fieldspur/net/route.py
+++ b/fieldspur/net/route.py
@@ -15,7 +15,7 @@
 from fieldspur.net.book import Answer, Book, Txn
 from fieldspur.net.holds import holds
 from fieldspur.net.lane import Hop
-from fieldspur.net.now import EPOCH, of_unix
+from fieldspur.net.now import EPOCH, latest_time_of, of_unix
 from fieldspur.net.relay import Relay
 from fieldspur.net.send import Send
 from fieldspur.net.wheel import NEVER, Wheel
@@ -304,15 +304,15 @@
 
     def purge_told(self, purge: Purge, now: bool = False) -> None:
         if now:
-            return self.purged(purge)
+            return self.purged(purge, live=False)
         self.queue.append((self.purged, (purge,), time.monotonic_ns() + EPOCH))
         self.sender.purge_told(purge.obj, purge.group)
         if not self.mine.busy:
             self.work()
 
-    def purged(self, purge: Purge) -> None:
+    def purged(self, purge: Purge, live: bool = True) -> None:
         self.purges += 1
-        self.router.purged(purge.obj, purge.group, max(0, self.clock - of_unix(purge.at)))
+        self.router.purged(purge.obj, purge.group, self.clock - latest_time_of(purge.at, self.clock, live))
 
     # The host interface.
 
