--- a/fieldspur/lab/emulate/servers.py
+++ b/fieldspur/lab/emulate/servers.py
@@ -46,14 +46,14 @@
     def closed(self, conn: Conn) -> None:
         self.conns.discard(conn)
         for spot in [spot for spot in self.open if spot[0] is conn]:
-            self.gave_up(spot)
+            self.gave_up(spot, self.world.loop.now())
 
     def data(self, conn: Conn, held: bytearray) -> None:
         try:
             base = conn.total - len(held)
             for at, items in wire.commands(held):
                 if items[0] == b"never_mind":
-                    self.gave_up((conn, items[1].decode()))
+                    self.gave_up((conn, items[1].decode()), conn.first(base + at))
                 elif items[0] == b"want":
                     self.want(conn, items[1].decode(), items[2].decode(), conn.first(base + at))
                 elif items[0] == b"busy" and not self.model.silent:
@@ -62,13 +62,13 @@
             self.world.checker.broke(1, f"{self.model.name} was sent what is not of the protocol: {wrong}")
             conn.reset()
 
-    def gave_up(self, spot: tuple) -> None:
+    def gave_up(self, spot: tuple, at: int) -> None:
         """Nobody waits for the attempt any more."""
         asked, entry = self.open.pop(spot, None), self.entries.pop(spot, None)
         if asked is not None:
             asked.give_up()
         if entry is not None:
-            entry.end = entry.end or "GIVEN_UP"
+            entry.end, entry.ended_at = entry.end or "GIVEN_UP", entry.ended_at or at
 
     def meter(self) -> str:
         load = self.model.load()
@@ -87,7 +87,7 @@
             self.open.pop((conn, ident), None)
             self.entries.pop((conn, ident), None)
             if entry is not None:
-                entry.end = word
+                entry.end, entry.ended_at = word, world.loop.now()
             told = [f"tell={note}"] if note else []
             told += [f"delay={waited / MS:.1f}"] if waited else []
             data = b""
--- a/fieldspur/lab/judge/check.py
+++ b/fieldspur/lab/judge/check.py
@@ -25,6 +25,7 @@
     first: int  # when its first byte was handed over by the router
     end: str = ""  # how it ended there
     server: str = ""
+    ended_at: int = 0  # when its end was written, or the router handed over that it is given up
 
 
 @dataclass(slots=True)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -9,11 +9,15 @@
 import pytest
 
 import known_red
-from fieldspur.decide import MS
+from fieldspur.decide import MS, SECOND
+from fieldspur.net.board import ListChange
+from fieldspur.net.book import Answer
 from fieldspur.net.relay import Relay
 from fieldspur.net.takein import Client as ClientSide
+from fieldspur.record import replace
 from helpers import Cache, SettableClock, clock, sender, until
 from test_crossings import entered, joins, stays, taken
+from test_first_bytes import route_to, row
 
 
 class Failing:
@@ -110,6 +114,17 @@
     assert 0 < int(cache.wants[-1].get("within", 0)) < 2000
 
 
+def test_a_server_that_starts_is_in_slow_start_from_its_telling_on_however_the_wall_clock_was_stepped(monkeypatch):
+    cache, real = Cache(), time.time_ns
+    _, route = route_to(cache)
+    for number, step in enumerate((3600, 30, 3, -3, -3600), 1):
+        monkeypatch.setattr(time, "time_ns", lambda step=step: real() + step * SECOND)
+        told = replace(row(cache, "up"), name=f"c{number}", started=real() // MS * MS)
+        began = clock()
+        route.list_told(ListChange(False, (told,)))
+        assert began - 100 * MS <= route.router.fleet.servers[told.name].started <= clock(), f"a step of {step} s"
+
+
 # The listener.
 
 
@@ -123,6 +138,35 @@
     until(lambda: sorted(takein.admit.taken) == [1, 2, 3], limit=3)
 
 
+def test_an_accept_that_fails_for_a_moment_costs_no_client_its_connection():
+    """Found by the soak (seed 122): a request sent to a resting connection in that moment was cut off with it."""
+    takein = entered()
+    resting = [joins(takein) for _ in range(3)]
+    takein.listener = Failing(takein.listener, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ECONNABORTED)
+    threading.Thread(target=takein.run, daemon=True).start()
+    further = joins(takein, accept=False)
+    further.ask(9)
+    until(lambda: takein.admit.taken == [9])
+    for stream, client in enumerate(resting, 1):
+        client.ask(stream)
+    until(lambda: sorted(takein.admit.taken) == [1, 2, 3, 9])
+    takein.close()
+
+
+def test_a_client_with_an_open_request_is_answered_whoever_fills_the_memory_for_frames():
+    takein = entered()
+    takein.most_bytes = 1000
+    there = joins(takein)
+    there.ask(1)
+    client = next(iter(takein.clients))
+    until(lambda: client.outlet.streams)
+    there.sock.sendall(b"\0\0\x27\x10A\0\0\0\2" + b"x" * 2000)  # the begin of 10 KB
+    assert there.get()[:2] == (66, 0)  # an error that belongs to no request: what it began is not read on
+    client.outlet.answer(1, Answer("completed", body=b"x"))
+    assert there.get()[1:3] == (1, 79) and there.get() is None
+    takein.close()
+
+
 def test_a_look_at_a_client_whose_reader_closes_its_socket_meanwhile_ends_nothing():
     """The threads that look are the sweep, the listener's and the main one: an error in any of them ends the program."""
     here, _there = socket.socketpair()
