A failing accept that passes shuts nobody; a server that starts is cold from its telling; owed answers outlive the frame bound

Slow start: Route.started goes by now.latest_time_of like purges; of_unix is gone. Frames: a client with open requests that holds most of the memory for frames is read no more, and gets its answers.

--- a/fieldspur/net/now.py
+++ b/fieldspur/net/now.py
@@ -10,8 +10,6 @@
 import sys
 import time
 
-from fieldspur.site import MS
-
 # The program's clock is `time.monotonic_ns() + EPOCH`: Unix ns as the system had them at the start, which nobody sets. Guards against an
 # operator, or a time server, that sets the clock by minutes: back, timers would not come for as long; forth, all would come at once. It
 # is written out where it is read, for a function of its own would be a tenth of a txn's calls.
@@ -20,11 +18,6 @@
 AWAY = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the peer has closed or reset its side
 
 
-def of_unix(at: int) -> int:
-    """A Unix time (ns) that came from outside, by the program's clock, to a ms: the same as long as nobody set the system's."""
-    return at + (time.monotonic_ns() + EPOCH - time.time_ns() + MS // 2) // MS * MS
-
-
 def latest_time_of(stamp: int, now: int, live: bool) -> int:
     """When something that another machine stamped with its Unix time (ns) happened, by the program's clock, at the latest.
 
--- a/fieldspur/net/route.py
+++ b/fieldspur/net/route.py
@@ -15,7 +15,7 @@
 from fieldspur.net.book import Answer, Book, Txn
 from fieldspur.net.holds import holds
 from fieldspur.net.lane import Hop
-from fieldspur.net.now import EPOCH, latest_time_of, of_unix
+from fieldspur.net.now import EPOCH, latest_time_of
 from fieldspur.net.relay import Relay
 from fieldspur.net.send import Send
 from fieldspur.net.wheel import NEVER, Wheel
@@ -269,7 +269,7 @@
             if s.state == "up":
                 self.sender.listed(s.name, s.address, s.state)
         if now:
-            self.list_changed(change.complete, rows)
+            self.list_changed(change.complete, rows, live=False)
         else:
             self.queue.append((self.list_changed, (change.complete, rows), time.monotonic_ns() + EPOCH))
         for s in rows:
@@ -282,22 +282,19 @@
         if not self.mine.busy:
             self.work()
 
-    def list_changed(self, complete: bool, rows: list) -> None:
+    def list_changed(self, complete: bool, rows: list, live: bool = True) -> None:
         fleet, site = self.router.fleet, self.site
         fleet.list_begins(complete)
         for s in rows:
-            fleet.server_listed(s.name, s.state, self.started(s), site.zones.index(s.zone), s.rating,
+            fleet.server_listed(s.name, s.state, self.started(s, live), site.zones.index(s.zone), s.rating,
                                 site.kinds.index(s.kind), s.cell)
         fleet.list_ends()
 
-    def started(self, s) -> int:
+    def started(self, s, live: bool) -> int:
         """When a server started, by this process' clock; one that is told again has not started again, whoever set a clock meanwhile."""
         told, at = self.starts.pop(s.name, (0, 0))
         if s.started != told:
-            at = of_unix(s.started) if s.started else 0
-            fleet = self.router.fleet
-            if at - self.clock > fleet.cold[self.site.kinds.index(s.kind) == fleet.parent_kind][2]:
-                at = self.clock  # clocks differ by more than it is cold for; guards against a server that is cold for as long
+            at = latest_time_of(s.started, self.clock, live) if s.started else 0
         if s.state != "gone":
             self.starts[s.name] = s.started, at
         return at
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import logging
 import select
 import socket
@@ -14,7 +13,7 @@
 from fieldspur.net.book import Answer, Book
 from fieldspur.net.now import AWAY, EPOCH, looks_at
 from fieldspur.net.relay import Outlet, Relay
-from fieldspur.permissions import ClientState, CloseReason, close_reason
+from fieldspur.permissions import Accepting, ClientState, CloseReason, close_reason, may_cut
 from fieldspur.site import MS
 
 log = logging.getLogger("fieldspur.takein")
@@ -25,7 +24,6 @@
 MOST_BEHIND = 4  # further reads before what was taken is handed over, while more lies there
 BACKLOG = 512
 BACKLOG_WAIT = 1.0  # seconds for which a failing accept is tried again as the listener closes
-NO_ROOM = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM
 ROOM_WAIT, ACCEPT_PAUSE = 0.1, 0.01  # seconds for which a new connection waits for a descriptor; after an accept that failed
 
 
@@ -165,6 +163,7 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(listen)
         self.listener.listen(BACKLOG)
+        self.accepting = Accepting()
         self.closing = self.closed = False  # connections are to come no more; the listener is closed
 
     def run(self) -> None:
@@ -174,10 +173,11 @@
             except OSError as wrong:
                 if not self.closing:
                     log.error("accept", extra={"kv": {"why": str(wrong)}})
-                    if wrong.errno in NO_ROOM and self.make_room(none=True):
+                    if self.accepting.make_room(wrong.errno, time.monotonic()) and self.make_room(none=True):
                         continue
                 time.sleep(ACCEPT_PAUSE)  # else it would be told so again and again, by a whole core
                 continue
+            self.accepting.succeeded()
             self.enter(sock)
 
     def enter(self, sock: socket.socket) -> None:
@@ -244,6 +244,8 @@
             most = len(self.clients) if none else self.most_clients + self.spare
             if not shut or len(self.clients) < most:
                 return bool(shut)
+            if none:
+                shut = [client for client in shut if may_cut(client.outlet.shut_at, time.monotonic())]
             for client in shut[:1 + len(shut) // 2]:
                 client.outlet.cut_off()
             return self.room.wait_for(lambda: len(self.clients) < most, ROOM_WAIT)
@@ -257,7 +259,10 @@
         if most is not None:
             log.warning("frames_full", extra={"kv": {"bytes": self.bytes}})
             self.closing_for(most, CloseReason.FRAME_MEMORY)
-            most.outlet.cut_off()
+            if most.outlet.streams:
+                most.fail(CloseReason.FRAME_MEMORY.value)  # nothing further is read of it, and what it is owed still comes
+            else:
+                most.outlet.cut_off()
 
     def withdraw(self, ident: int, left: bool = False) -> None:
         if self.book.withdraw(ident, left):
--- a/fieldspur/permissions.py
+++ b/fieldspur/permissions.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 from enum import Enum
 
 from fieldspur.record import record
@@ -17,6 +18,9 @@
 FRAME_WAIT_S = 2.0  # for the rest of a frame that has begun
 IDLE_WAIT_S = 5.0  # clients close by themselves after 4 s without a request
 AFTER_SHUT_S = 0.5  # for a client's own close after this side was shut
+OUT_OF_ROOM = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
+ACCEPT_FAILING_S = 0.25  # an accept that fails for less is a passing failure: it is tried again, and nobody pays for it
+CROSSING_S = 0.1  # after this side was shut, a client may have a request under way, which it then sends again
 
 
 class Refusal(str, Enum):
@@ -202,6 +206,37 @@
     return CloseReason.IDLE if idle > (IDLE_WAIT_S if client.proved else FRAME_WAIT_S) else None
 
 
+# The listener.
+
+
+class Accepting:
+    """What a failing accept means. A failure that passes costs nobody a connection: whoever waits, waits in the system's queue. Only
+    where room is short for a while do clients that rest make some."""
+
+    def __init__(self):
+        self.failing_since = 0.0  # 0: room is not short
+        self.made = False  # room was made since the last accept that succeeded
+
+    def succeeded(self) -> None:
+        """An accept gave a connection; where room had to be made for it, room is as short as before."""
+        if not self.made:
+            self.failing_since = 0.0
+        self.made = False
+
+    def make_room(self, number: int | None, now: float) -> bool:
+        """After an accept that failed with that errno: whether clients that rest are to be let go for it."""
+        if number not in OUT_OF_ROOM:
+            return False
+        self.failing_since = self.failing_since or now
+        self.made |= now - self.failing_since >= ACCEPT_FAILING_S
+        return self.made
+
+
+def may_cut(shut_at: float, now: float) -> bool:
+    """Whether a connection whose side was shut then may be cut off for its descriptor, without harm to what crosses the shut."""
+    return now - shut_at > CROSSING_S
+
+
 # The program's end.
 
 
