--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,6 +1,7 @@
 """System calls that fail for a moment, and waits that change what a decision was made on: found by the soak, or by reading for it."""
 
 import errno
+import signal
 import socket
 import threading
 import time
@@ -11,11 +12,12 @@
 import known_red
 from fieldspur.decide import MS, SECOND
 from fieldspur.net.board import ListChange
-from fieldspur.net.book import Answer
+from fieldspur.net import lane as lane_module
+from fieldspur.net.book import Answer, Book
 from fieldspur.net.relay import Relay
 from fieldspur.net.takein import Client as ClientSide
 from fieldspur.record import replace
-from helpers import Cache, SettableClock, clock, sender, until
+from helpers import Cache, SettableClock, clock, pause, sender, until
 from test_crossings import entered, joins, stays, taken
 from test_first_bytes import route_to, row
 
@@ -87,6 +89,73 @@
     assert all(2300 <= int(want["limit"]) <= 3000 - 400 + 150 for want in cache.wants)
 
 
+def test_a_request_s_time_counts_from_when_it_came_and_not_from_when_its_reader_had_a_turn(run):
+    """Found by the soak (seed 211): its reader waited 250 ms for word of the board, for others; so after a stop of the process."""
+    takein, times = entered(), {}
+    takein.admit.request = lambda request, outlet, now: outlet.open(request.stream, 7) and not times.update({request.stream: now})
+    takein.route.handle = lambda: time.sleep(0.3) if len(times) == 1 else None
+    there = joins(takein)
+    there.ask(1)
+    until(lambda: times)
+    there.ask(2)
+    sent = clock()
+    until(lambda: len(times) == 2)
+    assert abs(times[2] - sent) < 60 * MS < clock() - sent
+    takein.close()
+    service = run(cache := Cache(lambda want: None))
+    client = service.client()
+    pause(service.process)
+    client.ask(1, limit="2500")
+    time.sleep(0.6)
+    service.process.send_signal(signal.SIGCONT)
+    assert int(until(lambda: cache.wants)[0]["limit"]) <= 2500 - 600 + 150
+
+
+def test_a_cancel_that_came_while_an_attempt_waited_for_a_slow_reader_is_heeded():
+    """Found by the soak (seed 207): an attempt begun 181 ms after its client had left. It waited once, whatever came meanwhile."""
+    cache = Cache(lambda want: None)
+    send = sender(cache.address)
+    attempt = taken_with_limit(send, 3000, ident=6, before_ms=50)
+    outlet = send.book.open[6].outlet
+    outlet.there.sendall(b"request")
+    lane = send.hop(attempt)
+    until(lambda: outlet.hops == [attempt])
+    time.sleep(0.15)  # its reader works for others meanwhile
+    outlet.there.sendall(b"cancel")
+    assert outlet.sock.recv(7) == b"request"
+    outlet.read_off()
+    assert outlet.hops == [attempt] and not attempt.written
+    outlet.sock.recv(100)
+    send.book.open.pop(6)
+    send.book.open = Book().open  # no request stands in for one that was withdrawn
+    outlet.read_off()
+    assert not attempt.written and not cache.wants and lane.ready
+
+
+def test_a_dial_that_fails_on_this_machine_for_a_moment_is_tried_again_and_speaks_against_no_server(monkeypatch):
+    for call, numbers in (("connect", [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EAGAIN]), ("socket", [errno.ENFILE, errno.ENOBUFS])):
+        cache = Cache(lambda want: None)
+        send = sender(cache.address)
+        attempt = taken_with_limit(send, 3000)
+        with monkeypatch.context() as patched:
+            if call == "connect":
+                patched.setattr(socket.socket, "connect", failing(socket.socket.connect, numbers))
+            else:
+                patched.setattr(lane_module, "socket", SimpleNamespace(**vars(socket) | {"socket": failing(socket.socket, numbers)}))
+            send.hop(attempt)
+            until(lambda: cache.wants, limit=3)
+        assert not numbers and not send.route.posted
+
+
+def failing(real, numbers):
+    """A call that fails with each of these numbers before it does as it should."""
+    def call(*about):
+        if numbers:
+            raise OSError(numbers.pop(0), "for a moment")
+        return real(*about)
+    return call
+
+
 def taken_with_limit(send, left_ms, ident=5, before_ms=0):
     """An attempt of a request that was taken so long ago and has so long left; its client stays."""
     hop = taken(send, stays(send), ident=ident, before_ms=before_ms)
