A request's time runs from its bytes' coming, an attempt waits again behind a slow reader, dials that fail here go on

Client.read took the moment of its read for the request's begin: behind a reader that worked for others for 250 ms, or after a stop of the process, the limit passed on was that much too large. Where the read before is over 50 ms ago it asks the system how long the last bytes have lain there. Outlet.look let an attempt go after one turn of its client's reader; it waits again where that turn took over 50 ms, for a cancel may have come in it.

--- a/fieldspur/net/lane.py
+++ b/fieldspur/net/lane.py
@@ -13,6 +13,7 @@
 from fieldspur.net import resp
 from fieldspur.net.now import AWAY, EPOCH, looks_at, write_now
 from fieldspur.net.wheel import NEVER
+from fieldspur.permissions import may_dial_again, speaks_against_server
 from fieldspur.record import record
 from fieldspur.site import MS, US
 
@@ -20,6 +21,7 @@
 MOST_AT_ONCE, JOIN = 16, 4096  # messages in one write; longer buffers are not joined with others
 STRUCT_TIME = struct.Struct("@ll")  # what the system takes as a time: seconds, microseconds
 MOST_USED = 512  # names remembered of what a connection carried and gave up
+DIAL_PAUSE = 0.02  # seconds between two tries of a dial that fails on this machine
 LOOK_ROOM = 200  # ms after which a wait for room in a socket looks whether the connection has ended
 UNSENT = 16_384  # bytes that the system may hold and not yet have sent when it takes more: what waits can be taken back
 ANY = 1 << 30  # the same for what has begun
@@ -43,7 +45,7 @@
     lane: Lane | None = None
     written: int = 0  # when it went out, 0 before
     ended: bool = False
-    waited: bool = False  # for its client's reader, once
+    waited: int = 0  # since when for its client's reader, the last time
 
 
 def keep_little(sock: socket.socket, unsent: int = UNSENT) -> None:
@@ -58,7 +60,8 @@
     """One connection to a server. Its own thread connects and reads. What goes out is written at once, without waiting,
     by the thread that has it; only what the socket does not take is left to a thread made for that."""
 
-    def __init__(self, send: Send, server: str, address: tuple[str, int]):
+    def __init__(self, send: Send, server: str, address: tuple[str, int], patient: bool = False):
+        """Raises OSError where the system gives no socket now, unless `patient`: then that is tried again while it dials."""
         self.send, self.server, self.address = send, server, address
         self.queue: deque = deque()  # hops to be written; bounded by the hops open here
         self.words: deque = deque()  # hops given up, of which the server is to be told first
@@ -75,11 +78,17 @@
         self.writing = threading.Lock()  # held by whoever writes; nobody waits for it
         self.draining = False  # a thread waits for the socket to take what is left of a write
         self.past = False  # a large write was handed over whole, past the mark: see whether there is room again
-        self.sock = socket.socket()
+        self.sock: socket.socket | None = None
+        try:
+            self.sock = socket.socket()
+        except OSError:
+            if not patient:
+                raise
         try:
             threading.Thread(target=self.run, name="lane", daemon=True).start()
         except RuntimeError:
-            self.sock.close()
+            if self.sock is not None:
+                self.sock.close()
             raise
 
     def takes(self, hop: Hop) -> bool:
@@ -307,8 +316,7 @@
     def run(self) -> None:
         site = self.send.site
         try:
-            self.sock.settimeout(site.connect_timeout / 1e9)
-            self.sock.connect(self.address)
+            self.dial()
             self.sock.settimeout(None)
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, site.idle_close // MS)
@@ -316,12 +324,27 @@
                 *divmod(site.connect_timeout // US, 1_000_000)))
             keep_little(self.sock)
         except OSError as wrong:  # not established
-            return self.end("unreachable", why=wrong.strerror or "timed out")
+            return self.end("unreachable" if speaks_against_server(wrong.errno) else "unsent", why=wrong.strerror or "timed out")
         self.heard = time.monotonic_ns() + EPOCH
         self.ready = True
         self.pump()
         self.read()
 
+    def dial(self) -> None:
+        """Connects, within the time that a dial may take. What fails on this machine is tried again meanwhile: it says nothing of the
+        server. Raises OSError."""
+        until = time.monotonic() + self.send.site.connect_timeout / 1e9
+        while True:
+            try:
+                if self.sock is None:
+                    self.sock = socket.socket()
+                self.sock.settimeout(max(DIAL_PAUSE, until - time.monotonic()))
+                return self.sock.connect(self.address)
+            except OSError as wrong:
+                if self.closed or not may_dial_again(wrong.errno, until - time.monotonic() - DIAL_PAUSE):
+                    raise
+            time.sleep(DIAL_PAUSE)
+
     def look(self) -> None:
         """Ends the connection where nothing is open and it is idle, retired or to a server that is gone."""
         with self.lock:
@@ -380,6 +403,8 @@
             send.route.handle()
 
     def shut(self) -> None:
+        if self.sock is None:
+            return
         try:
             self.sock.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -394,7 +419,8 @@
         self.shut()
         self.send.lane_ended(self)
         self.writing.acquire()  # a write under way uses the descriptor; none waits in there
-        self.sock.close()
+        if self.sock is not None:
+            self.sock.close()
         self.saying.extend(self.words)
         self.words.clear()
         self.writing.release()
--- a/fieldspur/net/now.py
+++ b/fieldspur/net/now.py
@@ -15,6 +15,7 @@
 # is written out where it is read, for a function of its own would be a tenth of a txn's calls.
 EPOCH = time.time_ns() - time.monotonic_ns()
 FLAGS = socket.MSG_DONTWAIT | socket.MSG_NOSIGNAL
+LONGEST_LAY = 60_000_000_000  # ns
 AWAY = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the peer has closed or reset its side
 
 
@@ -36,6 +37,17 @@
     return poll
 
 
+def lay_for(sock: socket.socket) -> int:
+    """For how long (ns, to some ms) what the peer sent last has lain in a TCP connection's socket, as the system counts
+    (`tcpi_last_data_recv` of TCP_INFO); 0 where it does not tell, or tells what can't be."""
+    try:
+        told = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 56)
+    except (OSError, AttributeError):
+        return 0
+    lay = int.from_bytes(told[52:56], sys.byteorder) * 1_000_000 if len(told) == 56 else 0
+    return lay if lay < LONGEST_LAY else 0
+
+
 def came(sock: socket.socket) -> int | None:
     """How many bytes the peer of a TCP connection has sent, as the system counts (`tcpi_bytes_received` of tcp(7)'s TCP_INFO; the
     peer's end counts as one); None where it does not tell."""
--- a/fieldspur/net/relay.py
+++ b/fieldspur/net/relay.py
@@ -14,6 +14,7 @@
 
 log = logging.getLogger("fieldspur.relay")
 OVERDUE = 10 * MS  # past its time limit, an answer is logged
+READER_TURN = 50 * MS
 LEFT, UNREAD = "left", "unread"  # what a look at a client's socket finds
 
 
@@ -53,13 +54,15 @@
         return what
 
     def look(self, hop) -> str:
-        """As `found`; with UNREAD the hop waits here until the reader has worked off what lies there, once."""
+        """As `found`; with UNREAD the hop waits here until the reader has worked off what lies there. What came after that, in a turn as
+        short as they are, is let be, for some clients send on and on; after a longer one it may hold a cancel that came long ago."""
         with self.lock:  # whoever ends it gives its descriptor away, too
             what = self.found()
             if what == UNREAD:
-                if hop.waited:
+                now = time.monotonic_ns()
+                if hop.waited and now - hop.waited <= READER_TURN:
                     return ""
-                hop.waited = True
+                hop.waited = now
                 self.hops.append(hop)
             return what
 
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -78,7 +78,7 @@
                 log.warning("lanes_full", extra={"kv": {"server": hop.server, "lanes": self.most_lanes}})
                 return None
             try:
-                lanes.append(Lane(self, hop.server, self.servers[hop.server].address))
+                lanes.append(Lane(self, hop.server, self.servers[hop.server].address, patient=best is None))
             except (RuntimeError, OSError) as wrong:  # the system gives no further thread or descriptor
                 log.error("no_lane", extra={"kv": {"server": hop.server, "why": str(wrong)}})
                 return best
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -11,7 +11,7 @@
 from fieldspur.net import frames
 from fieldspur.net.admit import Admit
 from fieldspur.net.book import Answer, Book
-from fieldspur.net.now import AWAY, EPOCH, looks_at
+from fieldspur.net.now import AWAY, EPOCH, lay_for, looks_at
 from fieldspur.net.relay import Outlet, Relay
 from fieldspur.permissions import Accepting, ClientState, CloseReason, close_reason, may_cut
 from fieldspur.site import MS
@@ -21,6 +21,7 @@
 MOST_AHEAD = 4096  # streams used out of order
 LOOK_EVERY = 0.2
 MOST_AFTER = 1 << 20  # bytes read on after what can't be read
+LATE_READ = 50 * MS  # since the read before: what is read now may have lain there for as long
 MOST_BEHIND = 4  # further reads before what was taken is handed over, while more lies there
 BACKLOG = 512
 BACKLOG_WAIT = 1.0  # seconds for which a failing accept is tried again as the listener closes
@@ -61,7 +62,7 @@
         self.failed = False
 
     def read(self) -> None:
-        decoder, after, behind, taken = frames.Decoder(), 0, 0, False
+        decoder, after, behind, taken, before = frames.Decoder(), 0, 0, False, 0  # before: when it last came back from a read
         looks = looks_at(self.sock).poll
         try:
             while size := self.sock.recv_into(decoder.window.view if self.failed or self.outlet.shut_at else decoder.window.room()):
@@ -74,7 +75,10 @@
                     continue
                 if (found := looks(0)) and found[0][1] & AWAY:
                     break  # nobody waits for what it sent; guards against attempts begun for thousands that send and go
-                now = time.monotonic_ns() + EPOCH
+                now = back = time.monotonic_ns() + EPOCH
+                if now - before > LATE_READ:  # this thread had no turn, or the process was stopped: a client's time runs from its bytes' coming
+                    now -= min(lay_for(self.sock), now - before)
+                before = back
                 self.takein.route.gather()
                 try:
                     for value in decoder.filled(size):
--- a/fieldspur/permissions.py
+++ b/fieldspur/permissions.py
@@ -19,6 +19,10 @@
 IDLE_WAIT_S = 5.0  # clients close by themselves after 4 s without a request
 AFTER_SHUT_S = 0.5  # for a client's own close after this side was shut
 OUT_OF_ROOM = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
+# What `connect` and `socket` say of this machine and not of the server: it speaks against nobody, and nothing was sent. No route is this
+# machine's matter for a moment, and the server's if it lasts.
+OWN_DIAL_FAILURES = OUT_OF_ROOM | {errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EINTR, errno.EPERM, errno.EACCES}
+NO_ROUTE = frozenset((errno.ENETUNREACH, errno.ENETDOWN))
 ACCEPT_FAILING_S = 0.25  # an accept that fails for less is a passing failure: it is tried again, and nobody pays for it
 CROSSING_S = 0.1  # after this side was shut, a client may have a request under way, which it then sends again
 
@@ -206,6 +210,19 @@
     return CloseReason.IDLE if idle > (IDLE_WAIT_S if client.proved else FRAME_WAIT_S) else None
 
 
+# Connections to servers.
+
+
+def speaks_against_server(number: int | None) -> bool:
+    """Whether a dial that failed with that errno to its end says something of the server, and not of this machine."""
+    return number not in OWN_DIAL_FAILURES
+
+
+def may_dial_again(number: int | None, left_s: float) -> bool:
+    """Whether a dial that failed with that errno is tried again, with so much of its time left."""
+    return left_s > 0 and (number in OWN_DIAL_FAILURES or number in NO_ROUTE)
+
+
 # The listener.
 
 
