--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,6 +1,8 @@
 """System calls that fail for a moment, and waits that change what a decision was made on: found by the soak, or by reading for it."""
 
 import errno
+import os
+import resource
 import signal
 import socket
 import threading
@@ -11,13 +13,15 @@
 
 import known_red
 from fieldspur.decide import MS, SECOND
-from fieldspur.net.board import ListChange
+from fieldspur.net.board import Board, ListChange
+from fieldspur.lab.soak import shim
+from fieldspur.net import board as board_module
 from fieldspur.net import lane as lane_module
 from fieldspur.net.book import Answer, Book
 from fieldspur.net.relay import Relay
 from fieldspur.net.takein import Client as ClientSide
 from fieldspur.record import replace
-from helpers import Cache, SettableClock, clock, pause, sender, until
+from helpers import Cache, Notices, SettableClock, clock, pause, sender, until
 from test_crossings import entered, joins, stays, taken
 from test_first_bytes import route_to, row
 
@@ -40,15 +44,15 @@
 class Closing:
     """A socket that its owner closes, by `end`, between two looks at its descriptor, unless the look keeps it from that."""
 
-    def __init__(self, sock, end):
-        self.sock, self.end, self.ending = sock, end, None
+    def __init__(self, sock, end, wait=0.2):
+        self.sock, self.end, self.wait, self.ending = sock, end, wait, None
 
     def fileno(self):
         number = self.sock.fileno()
         if self.ending is None:
             self.ending = threading.Thread(target=self.end)
             self.ending.start()
-            self.ending.join(0.2)
+            self.ending.join(self.wait)
         return number
 
 
@@ -194,6 +198,53 @@
         assert began - 100 * MS <= route.router.fleet.servers[told.name].started <= clock(), f"a step of {step} s"
 
 
+# Discovery, files, the start.
+
+
+def test_a_look_at_a_watch_that_ends_meanwhile_breaks_no_connection_to_a_server(monkeypatch):
+    """It ends for its silence, without the lock of the look. The ValueError of a closed descriptor was taken for the end of the
+    connection that was to be written to."""
+    monkeypatch.setattr(board_module, "SILENCE", 0.3)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        board = Board(listener.getsockname(), SimpleNamespace(gather=lambda: None, handle=lambda: None), 1)
+        threading.Thread(target=lambda: pytest.raises(TimeoutError, board.watch), daemon=True).start()
+        there, real = listener.accept()[0], until(lambda: board.sock.fileno() >= 0 and board.sock)
+        assert there.recv(100) == b"watch 0\n"
+
+        board.excused = board.heard
+        board.sock = look = Closing(real, lambda: until(lambda: real.fileno() < 0, limit=2), wait=0.6)
+        with board.reading:
+            assert board.behind() is False
+        look.ending.join()
+
+
+def test_a_configuration_that_can_not_be_opened_for_a_moment_is_taken_over_after_it(run):
+    other = Notices()
+    service = run(Cache())
+    service.client()
+    until(lambda: service.board.watched)
+    there = len(os.listdir(f"/proc/{service.process.pid}/fd"))
+    _, most = resource.prlimit(service.process.pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(service.process.pid, resource.RLIMIT_NOFILE, (there, most))
+    service.reload(board=other.address)
+    time.sleep(0.3)
+    resource.prlimit(service.process.pid, resource.RLIMIT_NOFILE, (most, most))
+    until(lambda: other.watched, limit=5)
+
+
+def test_a_start_in_a_moment_without_descriptors_is_a_start_all_the_same(run, tmp_path):
+    """Found by reading, as a restart under failing `socket`: the program ended for good."""
+    faults = shim.Shim(tmp_path, shim.build(tmp_path), 0, 1)
+    faults.rate("socket", 1000)
+    service = run(Cache(), env=faults.env)
+    time.sleep(0.7)
+    assert faults.fired()["socket"] and service.process.poll() is None, service.lines()
+    faults.rate("socket", 0)
+    client = service.client()
+    client.ask(1)
+    assert client.get()[1:3] == (1, 79)
+
+
 # The listener.
 
 
