A start and a reload outlast a moment without descriptors; a watch is closed under the lock of those who look at it

Board made a socket at its construction, which ended the start too: it makes one when it dials. Board.listen closes its socket under Board.reading, under which others look at it; a ValueError there ended a connection to a server. Failed tries: the first form of the cancel test and of the configuration test were flaky (a hop put after the lane's own pump; a limit on descriptors beside a free lower number): both mended.

--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -20,16 +20,17 @@
 from fieldspur.net.route import Route
 from fieldspur.net.send import Send
 from fieldspur.net.takein import TakeIn
-from fieldspur.permissions import may_exit
+from fieldspur.permissions import may_exit, may_try_again
 from fieldspur.operators import BadFile, Operators, read
 from fieldspur.record import replace
-from fieldspur.site import MS, BadSite, Node, differences, read_node
+from fieldspur.site import MS, BadSite, Node, Unopened, differences, read_node
 
 log = logging.getLogger("fieldspur.main")
 STACK, DEEP_STACK = 128 << 10, 512 << 10  # DEEP: of what parses JSON, whose nesting the sender chooses
 GARBAGE = 50, 100  # looks for cycles are rare: a txn leaves none behind, and a look holds up all threads
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)  # the last one: the file is read again
 LANE_MEMORY = 2 << 20  # bytes of the limit for each connection to a server
+FILE_PAUSE = 0.05  # seconds between two tries to open a file
 PARTING = 0.2  # seconds in which clients may close by themselves
 STILL_COMING = 0.7  # seconds after SIGTERM for which clients still come, by the protocol
 KILLED_AFTER, BEFORE_IT = 3.0, 0.1  # so much later, or the longest time limit if that is less, SIGKILL may come; margin
@@ -142,7 +143,7 @@
     def reload(self) -> None:
         """Read the files again. One that can't be used changes nothing, nor does what a running router keeps."""
         try:
-            node, wishes = read_node(os.environ), wishes_of(os.environ)
+            node, wishes = files_of(os.environ)
         except (BadSite, BadFile) as bad:
             return log.error("kept", extra={"kv": {"why": str(bad)}})
         self.board.move(node.board, node.known)
@@ -186,6 +187,18 @@
     return read(environ["LB_OPERATORS"]) if environ.get("LB_OPERATORS") else Operators()
 
 
+def files_of(environ) -> tuple[Node, Operators]:
+    """Both files, checked. Where the system has no room to open one now, that is tried again for a while. Raises BadSite, BadFile."""
+    began = time.monotonic()
+    while True:
+        try:
+            return read_node(environ), wishes_of(environ)
+        except Unopened as wrong:
+            if not may_try_again(wrong.number, time.monotonic() - began):
+                raise
+        time.sleep(FILE_PAUSE)
+
+
 def level_of(node: Node, wishes: Operators) -> int:
     return logging.DEBUG if node.debug else getattr(logging, wishes.log.level.upper())
 
@@ -195,7 +208,7 @@
     threading.excepthook = fail
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # in all threads; the main one waits for them
     try:
-        node, wishes = read_node(os.environ), wishes_of(os.environ)
+        node, wishes = files_of(os.environ)
         logs.begin(level_of(node, wishes), wishes.log.lines_a_second)
         sys.setswitchinterval(wishes.interpreter.switch_ms / 1000)
         service = Service(node, wishes)
--- a/fieldspur/net/board.py
+++ b/fieldspur/net/board.py
@@ -68,7 +68,7 @@
         self.known: list = []  # events that a new configuration brought
         self.moved = threading.Event()  # set while a move waits to be seen
         self.current = threading.Event()  # set once what the board held has come, and nothing of it is missing
-        self.sock = socket.socket()  # the present connection
+        self.sock: socket.socket | None = None  # the present connection
         self.reading = threading.Lock()  # held from a read until all it brought is told
         self.thread = 0  # that reads
         self.heard = time.monotonic()  # when a whole line last came
@@ -109,7 +109,7 @@
         if time.monotonic() - self.heard > SILENCE and self.excused != self.heard:
             return True
         sock, poll = self.sock, select.poll()
-        if sock.fileno() < 0:
+        if sock is None or sock.fileno() < 0:
             return False
         poll.register(sock, select.POLLIN)
         return any(event & select.POLLIN for _, event in poll.poll(0))  # not of a connection that does not stand
@@ -159,8 +159,10 @@
         """A new configuration: watch there from now on. Called by another thread, at any moment."""
         self.where, self.known = where, known
         self.moved.set()
+        sock = self.sock
         try:
-            self.sock.shutdown(socket.SHUT_RDWR)
+            if sock is not None:
+                sock.shutdown(socket.SHUT_RDWR)
         except OSError:
             pass  # not connected: `watch` looks at `moved` once it is
 
@@ -194,36 +196,43 @@
             self.route.handle()  # what was told and is not yet handled
 
     def listen(self) -> None:
-        with socket.socket() as sock:
-            self.sock = sock
-            sock.settimeout(SILENCE / 2)
-            sock.connect(self.where)
-            if self.moved.is_set():
-                return
-            sock.sendall(b"watch %d\n" % self.last)
-            poll = select.poll()
-            poll.register(sock, select.POLLIN)
-            held, heard = b"", time.monotonic()
-            while True:  # what lies there is read first, however long this process was stopped
-                left = max(0.0, heard + SILENCE - time.monotonic())
-                settles = self.heard == heard and not held and not self.current.is_set()
-                if poll.poll((min(left, SETTLE) if settles else left) * 1000):
-                    # All that lies there is told before this thread takes a turn in the Router and writes by half of it.
-                    self.route.gather()
-                    with self.reading:
-                        data = sock.recv(65_536)
-                        if not data:
-                            return
-                        *lines, held = (held + data).split(b"\n")
-                        if len(held) > MOST_LINE:
-                            raise ValueError("a line too long")
-                        for line in lines:
-                            if line.strip():
-                                self.line(line)
-                                self.heard = heard = time.monotonic()
-                    if not poll.poll(0):
-                        self.route.handle()
-                elif settles:
-                    self.current.set()
-                if time.monotonic() - heard >= SILENCE:
-                    raise TimeoutError("no whole line")
+        sock = socket.socket()
+        try:
+            self.listen_to(sock)
+        finally:
+            with self.reading:  # else who looks at it meets a descriptor that is closed meanwhile
+                sock.close()
+
+    def listen_to(self, sock: socket.socket) -> None:
+        self.sock = sock
+        sock.settimeout(SILENCE / 2)
+        sock.connect(self.where)
+        if self.moved.is_set():
+            return
+        sock.sendall(b"watch %d\n" % self.last)
+        poll = select.poll()
+        poll.register(sock, select.POLLIN)
+        held, heard = b"", time.monotonic()
+        while True:  # what lies there is read first, however long this process was stopped
+            left = max(0.0, heard + SILENCE - time.monotonic())
+            settles = self.heard == heard and not held and not self.current.is_set()
+            if poll.poll((min(left, SETTLE) if settles else left) * 1000):
+                # All that lies there is told before this thread takes a turn in the Router and writes by half of it.
+                self.route.gather()
+                with self.reading:
+                    data = sock.recv(65_536)
+                    if not data:
+                        return
+                    *lines, held = (held + data).split(b"\n")
+                    if len(held) > MOST_LINE:
+                        raise ValueError("a line too long")
+                    for line in lines:
+                        if line.strip():
+                            self.line(line)
+                            self.heard = heard = time.monotonic()
+                if not poll.poll(0):
+                    self.route.handle()
+            elif settles:
+                self.current.set()
+            if time.monotonic() - heard >= SILENCE:
+                raise TimeoutError("no whole line")
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -13,7 +13,7 @@
 from fieldspur.net.book import Answer, Book
 from fieldspur.net.now import AWAY, EPOCH, lay_for, looks_at
 from fieldspur.net.relay import Outlet, Relay
-from fieldspur.permissions import Accepting, ClientState, CloseReason, close_reason, may_cut
+from fieldspur.permissions import Accepting, ClientState, CloseReason, close_reason, may_cut, may_try_again
 from fieldspur.site import MS
 
 log = logging.getLogger("fieldspur.takein")
@@ -24,6 +24,7 @@
 LATE_READ = 50 * MS  # since the read before: what is read now may have lain there for as long
 MOST_BEHIND = 4  # further reads before what was taken is handed over, while more lies there
 BACKLOG = 512
+LISTEN_PAUSE = 0.1  # seconds between two tries to listen
 BACKLOG_WAIT = 1.0  # seconds for which a failing accept is tried again as the listener closes
 ROOM_WAIT, ACCEPT_PAUSE = 0.1, 0.01  # seconds for which a new connection waits for a descriptor; after an accept that failed
 
@@ -32,6 +33,26 @@
     return frames.answer(stream, answer.word, answer.come_back_ms, answer.unchanged, answer.body)
 
 
+def listen_at(where: tuple[str, int]) -> socket.socket:
+    """A listener; where the system has no room for it now, that is tried again for a while. Raises OSError."""
+    began = time.monotonic()
+    while True:
+        sock = None
+        try:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(where)
+            sock.listen(BACKLOG)
+            return sock
+        except OSError as wrong:
+            if sock is not None:
+                sock.close()
+            if not may_try_again(wrong.errno, time.monotonic() - began):
+                raise
+            log.warning("listen", extra={"kv": {"why": wrong.strerror}})
+        time.sleep(LISTEN_PAUSE)
+
+
 class Used:
     """Stream numbers that a connection has used: all up to `low`, and some above."""
 
@@ -163,10 +184,7 @@
         self.closed_for: dict[CloseReason, int] = {}  # connections closed by this side, by reason
         self.lock = threading.Lock()
         self.room = threading.Condition(self.lock)  # told when a descriptor is free
-        self.listener = socket.socket()
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(listen)
-        self.listener.listen(BACKLOG)
+        self.listener = listen_at(listen)
         self.accepting = Accepting()
         self.closing = self.closed = False  # connections are to come no more; the listener is closed
 
--- a/fieldspur/permissions.py
+++ b/fieldspur/permissions.py
@@ -24,6 +24,7 @@
 OWN_DIAL_FAILURES = OUT_OF_ROOM | {errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EINTR, errno.EPERM, errno.EACCES}
 NO_ROUTE = frozenset((errno.ENETUNREACH, errno.ENETDOWN))
 ACCEPT_FAILING_S = 0.25  # an accept that fails for less is a passing failure: it is tried again, and nobody pays for it
+TRY_AGAIN_S = 5.0  # a start has 10 s until it has to be ready
 CROSSING_S = 0.1  # after this side was shut, a client may have a request under way, which it then sends again
 
 
@@ -254,6 +255,14 @@
     return now - shut_at > CROSSING_S
 
 
+# Starts and reloads.
+
+
+def may_try_again(number: int | None, tried_s: float) -> bool:
+    """Whether what a start or a reload asked of the system, and did not get, is asked for again: room that is short for a moment."""
+    return number in OUT_OF_ROOM and tried_s < TRY_AGAIN_S
+
+
 # The program's end.
 
 
--- a/fieldspur/site.py
+++ b/fieldspur/site.py
@@ -23,6 +23,14 @@
     """Configuration that can't be used; the text names the faulty key."""
 
 
+class Unopened(BadSite):
+    """The file could not be opened or read; `number` is the system's errno."""
+
+    def __init__(self, text: str, number: int | None):
+        super().__init__(text)
+        self.number = number
+
+
 class Part:
     """One object of the configuration and its path."""
 
@@ -186,7 +194,7 @@
         with open(where, "rb") as file:
             conf = Part(json.load(file))
     except OSError as wrong:
-        raise BadSite(f"LB_CONFIG: {wrong.strerror}") from None
+        raise Unopened(f"LB_CONFIG: {wrong.strerror}", wrong.errno) from None
     except (ValueError, RecursionError):
         raise BadSite("LB_CONFIG: the file is not JSON") from None
     name = environ.get("LB_NAME") or conf.text("name")
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -18,6 +18,7 @@
 from fieldspur.net import board as board_module
 from fieldspur.net import lane as lane_module
 from fieldspur.net.book import Answer, Book
+from fieldspur.net.now import looks_at
 from fieldspur.net.relay import Relay
 from fieldspur.net.takein import Client as ClientSide
 from fieldspur.record import replace
@@ -85,6 +86,7 @@
     other = taken_with_limit(send, 3000, ident=6, before_ms=50)
     outlet = send.book.open[6].outlet
     outlet.there.sendall(b"half a frame")
+    until(lambda: looks_at(outlet.sock).poll(0))
     send.hop(other).pump()  # it waits for its client's reader
     time.sleep(0.4)
     assert outlet.hops == [other] and outlet.sock.recv(100)
@@ -122,10 +124,13 @@
     attempt = taken_with_limit(send, 3000, ident=6, before_ms=50)
     outlet = send.book.open[6].outlet
     outlet.there.sendall(b"request")
+    until(lambda: looks_at(outlet.sock).poll(0))
     lane = send.hop(attempt)
+    lane.pump()
     until(lambda: outlet.hops == [attempt])
     time.sleep(0.15)  # its reader works for others meanwhile
     outlet.there.sendall(b"cancel")
+    until(lambda: len(outlet.sock.recv(100, socket.MSG_PEEK)) == 13)
     assert outlet.sock.recv(7) == b"request"
     outlet.read_off()
     assert outlet.hops == [attempt] and not attempt.written
@@ -146,7 +151,7 @@
                 patched.setattr(socket.socket, "connect", failing(socket.socket.connect, numbers))
             else:
                 patched.setattr(lane_module, "socket", SimpleNamespace(**vars(socket) | {"socket": failing(socket.socket, numbers)}))
-            send.hop(attempt)
+            send.hop(attempt).pump()
             until(lambda: cache.wants, limit=3)
         assert not numbers and not send.route.posted
 
@@ -208,7 +213,7 @@
     with socket.create_server(("127.0.0.1", 0)) as listener:
         board = Board(listener.getsockname(), SimpleNamespace(gather=lambda: None, handle=lambda: None), 1)
         threading.Thread(target=lambda: pytest.raises(TimeoutError, board.watch), daemon=True).start()
-        there, real = listener.accept()[0], until(lambda: board.sock.fileno() >= 0 and board.sock)
+        there, real = listener.accept()[0], until(lambda: board.sock)
         assert there.recv(100) == b"watch 0\n"
 
         board.excused = board.heard
@@ -221,11 +226,11 @@
 def test_a_configuration_that_can_not_be_opened_for_a_moment_is_taken_over_after_it(run):
     other = Notices()
     service = run(Cache())
-    service.client()
+    _client = service.client()
     until(lambda: service.board.watched)
-    there = len(os.listdir(f"/proc/{service.process.pid}/fd"))
+    there = set(map(int, os.listdir(f"/proc/{service.process.pid}/fd")))
     _, most = resource.prlimit(service.process.pid, resource.RLIMIT_NOFILE)
-    resource.prlimit(service.process.pid, resource.RLIMIT_NOFILE, (there, most))
+    resource.prlimit(service.process.pid, resource.RLIMIT_NOFILE, (min(set(range(1000)) - there), most))
     service.reload(board=other.address)
     time.sleep(0.3)
     resource.prlimit(service.process.pid, resource.RLIMIT_NOFILE, (most, most))
