--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -253,6 +253,26 @@
 # The listener.
 
 
+def test_a_connection_that_was_accepted_as_the_listener_closes_is_in_the_list_before_the_program_looks_at_it():
+    """Its thread had no turn between the accept and the list; all that is listed was shut, and the program left."""
+    takein = entered()
+    real, handed = takein.listener, threading.Event()
+
+    class Slow(Failing):
+        def accept(self):
+            found = super().accept()
+            handed.set()
+            time.sleep(0.3)
+            return found
+    takein.listener = Slow(real)
+    threading.Thread(target=takein.run, daemon=True).start()
+    there = joins(takein, accept=False)
+    there.ask(1)
+    assert handed.wait(5)
+    takein.close()
+    assert takein.clients and not takein.shut(late=False) or takein.admit.taken == [1]
+
+
 def test_an_accept_that_fails_as_the_listener_closes_leaves_nobody_in_the_backlog():
     takein = entered()
     clients = [joins(takein, accept=False) for _ in range(3)]
