The listener's end waits for the thread that may hold a connection it has accepted

TakeIn.close joins the thread of TakeIn.run after its listener is shut, so that all that was accepted is listed before the program looks whether it may leave.

--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -186,9 +186,11 @@
         self.room = threading.Condition(self.lock)  # told when a descriptor is free
         self.listener = listen_at(listen)
         self.accepting = Accepting()
+        self.accepter: threading.Thread | None = None  # the thread in `run`
         self.closing = self.closed = False  # connections are to come no more; the listener is closed
 
     def run(self) -> None:
+        self.accepter = threading.current_thread()
         while not self.closed:
             try:
                 sock, _ = self.listener.accept()
@@ -315,7 +317,7 @@
             return self.ready
 
     def close(self) -> None:
-        """No connection is taken any more, but those are that the system has accepted already."""
+        """No connection is taken any more, but those are that the system has accepted already: once this is back, all are in the list."""
         self.closing = True
         self.listener.setblocking(False)
         self.take_backlog(time.monotonic() + BACKLOG_WAIT)
@@ -324,6 +326,8 @@
             self.listener.shutdown(socket.SHUT_RDWR)  # a thread may wait in `accept`, and a close does not wake it
         except OSError:
             pass
+        if self.accepter is not None:
+            self.accepter.join(BACKLOG_WAIT)  # it may hold one that it has accepted
         self.listener.close()
 
     def take_backlog(self, until: float) -> None:
