--- a/fieldspur/bench/path.py
+++ b/fieldspur/bench/path.py
@@ -28,10 +28,18 @@
     """The measurement could not be made; the text says why."""
 
 
+handed_out: set[tuple[str, int]] = set()  # the system may name a port again before it is used
+
+
 def free_port(host: str = "127.0.0.1") -> int:
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+    """A port that nobody listens on, and that this process was not given before."""
+    while True:
+        with socket.socket() as sock:
+            sock.bind((host, 0))
+            found = host, sock.getsockname()[1]
+        if found not in handed_out:
+            handed_out.add(found)
+            return found[1]
 
 
 def usage(pid: int) -> dict:
