--- a/fieldspur/net/now.py
+++ b/fieldspur/net/now.py
@@ -19,13 +19,16 @@
 AWAY = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the peer has closed or reset its side
 
 
-def latest_time_of(stamp: int, now: int, live: bool) -> int:
+def latest_time_of(stamp: int, now: int, live: bool, ahead: int = 0) -> int:
     """When something that another machine stamped with its Unix time (ns) happened, by the program's clock, at the latest.
 
     What was told while this process watched (`live`) had not happened long before, and is taken to have happened as it was told: no wall
     clock enters, for this machine's and the other's may have been set meanwhile, by seconds or an hour. What a file held at the start may
-    be as old as its stamp says, by the wall clock as it stood then, and is never in the future. A purge that is taken to be younger than
-    it is, and a server that is taken to have started later than it did, cost a little; the other way round breaks a promise."""
+    be as old as its stamp says, by the wall clock as it stood then. What may be told `ahead` of its time by so much is taken at its word
+    there; nothing else is in the future. A purge that is taken to be younger than it is, and a server that is taken to have started later
+    than it did, cost a little; the other way round breaks a promise."""
+    if now < stamp <= now + ahead:
+        return stamp
     return now if live else min(stamp, now)
 
 
--- a/fieldspur/net/route.py
+++ b/fieldspur/net/route.py
@@ -294,7 +294,9 @@
         """When a server started, by this process' clock; one that is told again has not started again, whoever set a clock meanwhile."""
         told, at = self.starts.pop(s.name, (0, 0))
         if s.started != told:
-            at = latest_time_of(s.started, self.clock, live) if s.started else 0
+            fleet = self.router.fleet
+            ramp = fleet.cold[self.site.kinds.index(s.kind) == fleet.parent_kind][2]
+            at = latest_time_of(s.started, self.clock, live, ramp) if s.started else 0
         if s.state != "gone":
             self.starts[s.name] = s.started, at
         return at
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -219,6 +219,9 @@
         began = clock()
         route.list_told(ListChange(False, (told,)))
         assert began - 100 * MS <= route.router.fleet.servers[told.name].started <= clock(), f"a step of {step} s"
+        later = replace(told, name=f"d{number}", started=clock() + 300 * MS)  # told ahead of its start
+        route.list_told(ListChange(False, (later,)))
+        assert route.router.fleet.servers[later.name].started == later.started
 
 
 # Discovery, files, the start.
