--- a/fieldspur/lab/soak/play.py
+++ b/fieldspur/lab/soak/play.py
@@ -51,6 +51,7 @@
         self.links: dict[Board, Relay] = {}
         self.settings: dict = {}  # a trouble's time until a reload, in ns
         self.ended_at = self.started_at = 0
+        self.ending = False  # was told to end, and has not started again
         self.level: dict = {}  # files and threads before the load
 
     def board_port(self, board: Board) -> int:
@@ -320,14 +321,14 @@
 
     def here(self, node: SoakNode) -> bool:
         """Whether it serves: not being restarted, killed or stopped."""
-        return self.load.gone_until[node.number] <= self.loop.now() and not node.sleeping()
+        return self.load.gone_until[node.number] <= self.loop.now() and not node.sleeping() and not node.ending
 
     def router_restart(self, fault) -> None:
         """SIGTERM. New connections come for a while yet, requests on open ones for longer."""
         node = self.node(fault)
         if node.process.poll() is not None or not self.here(node):
             return
-        node.ended_at = self.loop.now()
+        node.ended_at, node.ending = self.loop.now(), True
         node.process.send_signal(signal.SIGTERM)
         self.loop.later(STILL_NEW, lambda: self.load.gone_until.__setitem__(node.number, self.loop.now() + 3600 * SECOND))
         self.await_end(node)
@@ -347,6 +348,7 @@
         self.again(node)
 
     def again(self, node: SoakNode) -> None:
+        node.ending = False
         node.start()
         self.loop.later(SECOND // 10, lambda: self.await_back(node))
 
