--- a/fieldspur/lab/judge/invariants.py
+++ b/fieldspur/lab/judge/invariants.py
@@ -30,8 +30,8 @@
 
 
 class Invariants(Checker):
-    """`second()` is the time of the run; `stall()` is how late the judging process may be now; `later(delay, what)` sets a timer; `unread(server)` tells whether that server
-    reads nothing, so that an end written to it can't be seen."""
+    """`second()` is the time of the run; `stall()` is how late the judging process may be now; `later(delay, what)` sets a timer;
+    `unread(server)` tells whether that server reads nothing, so that an end written to it can't be seen."""
 
     def __init__(self, fall_multiple: float, routers: int, second: Callable[[], float], stall: Callable[[], int], later: Callable,
                  unread: Callable[[str], bool]):
