Logs say what the incident's evidence lacked: list changes, ends by reason, the error first

Change: the line of a crash names the error, its text and its place before the trace; each change of the server list is a line with its revision and the states in it; a connection's end names its address and whether it had come up; the counts tell ends of connections and attempts by reason, list changes, purges, the revision, and the process' peak memory. Closes for want of options or of a thread are counted (both reasons stood unused).

--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -11,6 +11,7 @@
 import time
 
 from fieldspur.gate import Gate
+from fieldspur.host import RESULTS
 from fieldspur.net import holds, logs
 from fieldspur.net.admit import Admit
 from fieldspur.net.board import Board
@@ -20,7 +21,7 @@
 from fieldspur.net.route import Route
 from fieldspur.net.send import Send
 from fieldspur.net.takein import TakeIn
-from fieldspur.permissions import may_exit, may_try_again
+from fieldspur.permissions import GiveUp, may_exit, may_try_again
 from fieldspur.operators import BadFile, Operators, read
 from fieldspur.record import replace
 from fieldspur.site import MS, BadSite, Node, Unopened, differences, read_node
@@ -39,7 +40,8 @@
 def fail(args) -> None:
     """A router that looks alive and serves nothing is worse than none."""
     log.critical("crashed", exc_info=(args.exc_type, args.exc_value, args.exc_traceback),
-                 extra={"kv": {"thread": args.thread.name if args.thread else ""}})
+                 extra={"kv": {"thread": args.thread.name if args.thread else "",
+                               **logs.error_fields(args.exc_value, args.exc_traceback)}})
     os._exit(1)
 
 
@@ -130,15 +132,19 @@
             "lanes": self.send.count(), "threads": threading.active_count(),
             "lag_ms": lag // MS, "pause_ms": int(pause * 1000), "board_ms": int(waited * 1000),
             "held": self.relay.held, "too_much": self.relay.too_much, "cpu": time.process_time(),
-            "system": os.times().system,
+            "system": os.times().system, "peak_mb": logs.peak_memory_mb(),
+            "list_changes": self.board.list_changes, "purges": self.board.purges, "rev": self.board.last,
             "broken": sum(holds.broken.values()), **self.reasons(),
             **{f"shape_{kind}": n for kind, n in self.route.router.differs.items()}}})
 
     def reasons(self) -> dict[str, int]:
-        """How often something was refused, given up or closed, by reason."""
-        counts = {f"refused_{why.value}": n for why, n in (*self.send.refused.items(), *self.takein.admit.refused.items())}
-        counts |= {f"gave_up_{why.value}": n for why, n in self.route.router.gave_up.items()}
-        return counts | {f"closed_{why.name.lower()}": n for why, n in self.takein.closed_for.items()}
+        """How often something ended, was refused, given up or closed, by reason."""
+        gave_up, attempts = self.route.router.gave_up, self.route.attempts
+        counts = {f"attempts_{result}": attempts[result] for result in RESULTS if attempts[result]}
+        counts |= self.send.refused.seen("refused") | self.takein.admit.refused.seen("refused")
+        # Over the enum, not the dict: the Router's thread adds to that meanwhile.
+        counts |= {f"gave_up_{why.value}": gave_up[why] for why in GiveUp if why in gave_up}
+        return counts | self.send.connection_ends.seen("connections") | self.takein.closed_for.seen("closed")
 
     def reload(self) -> None:
         """Read the files again. One that can't be used changes nothing, nor does what a running router keeps."""
--- a/fieldspur/net/admit.py
+++ b/fieldspur/net/admit.py
@@ -6,9 +6,10 @@
 
 from fieldspur.net.book import Answer, Book, Txn
 from fieldspur.net.frames import Request, Unusable
+from fieldspur.net.logs import ReasonCounter
 from fieldspur.net.relay import Outlet
 from fieldspur.net.wheel import NEVER
-from fieldspur.permissions import take_refusal
+from fieldspur.permissions import Refusal, take_refusal
 from fieldspur.site import MS, Deployment
 
 log = logging.getLogger("fieldspur.admit")
@@ -21,7 +22,7 @@
     def __init__(self, site: Deployment, book: Book, route, most_bytes: int):
         self.book, self.route, self.most_open, self.most_bytes = book, route, site.most_open, most_bytes
         self.come_back_ms = site.router["longest_come_back"] // MS
-        self.refused: dict[str, int] = {}  # requests turned away here, by reason
+        self.refused = ReasonCounter(Refusal)  # requests turned away here
         self.ends_at = NEVER  # every txn has its answer by then: an ending program is killed soon after
         self.limits = [rule.limit for rule in site.rules]
         self.rules = {name: (at, site.rules[at].kind == "keyed") for at, name in enumerate(site.rule_names)}
@@ -50,7 +51,7 @@
                                self.book.bytes + len(txn.body), self.most_bytes)
         if refusal is not None:
             self.book.count("full")
-            self.refused[refusal] = self.refused.get(refusal, 0) + 1
+            self.refused.add(refusal)
             outlet.answer(request.stream, Answer("rejected", self.come_back_ms))
             return True
         self.book.take(txn)
--- a/fieldspur/net/board.py
+++ b/fieldspur/net/board.py
@@ -75,6 +75,7 @@
         self.waited = 0.0  # the longest that a write waited for its word since the last look
         self.excused = 0.0  # that `heard` after which somebody waited in vain
         self.last = 0
+        self.list_changes = self.purges = 0  # told so far
         self.rows: dict[str, dict] = {}  # the list as told, for a change may hold only what has changed
 
     def event(self, value: Part) -> ListChange | Purge | None:
@@ -100,8 +101,13 @@
 
     def tell(self, told: ListChange | Purge | None, now: bool = False) -> None:
         if isinstance(told, ListChange):
+            self.list_changes += 1
+            states = [row.state for row in told.servers]
+            log.info("list", extra={"kv": {"rev": self.last, "complete": int(told.complete),
+                                           **{state: states.count(state) for state in STATES.values()}}})
             self.route.list_told(told, now)
         elif told is not None:
+            self.purges += 1
             self.route.purge_told(told, now)
 
     def behind(self) -> bool:
--- a/fieldspur/net/lane.py
+++ b/fieldspur/net/lane.py
@@ -9,6 +9,7 @@
 import threading
 import time
 from collections import deque
+from enum import Enum
 
 from fieldspur.net import resp
 from fieldspur.net.now import AWAY, EPOCH, looks_at, write_now
@@ -27,6 +28,27 @@
 ANY = 1 << 30  # the same for what has begun
 
 
+class ConnectionEnd(str, Enum):
+    """Why a connection to a server ended, or did not come up; for the counts."""
+
+    REFUSED = "refused"
+    RESET = "reset"
+    TIMED_OUT = "timed_out"
+    CLOSED_BY_SERVER = "closed_by_server"
+    CLOSED_HERE = "closed_here"
+    UNREADABLE = "unreadable"
+    OTHER = "other"
+
+
+def end_of(error: OSError) -> ConnectionEnd:
+    """The end that an error of the system stands for."""
+    if isinstance(error, ConnectionRefusedError):
+        return ConnectionEnd.REFUSED
+    if isinstance(error, (ConnectionResetError, BrokenPipeError)):
+        return ConnectionEnd.RESET
+    return ConnectionEnd.TIMED_OUT if isinstance(error, TimeoutError) else ConnectionEnd.OTHER
+
+
 @record(eq=False)
 class Hop:
     """One request on its way to a server: a txn's hop, or a probe (no `want`)."""
@@ -324,7 +346,7 @@
                 *divmod(site.connect_timeout // US, 1_000_000)))
             keep_little(self.sock)
         except OSError as wrong:  # not established
-            return self.end("unreachable" if speaks_against_server(wrong.errno) else "unsent", why=wrong.strerror or "timed out")
+            return self.end("unreachable" if speaks_against_server(wrong.errno) else "unsent", end_of(wrong), wrong.strerror or "timed out")
         self.heard = time.monotonic_ns() + EPOCH
         self.ready = True
         self.pump()
@@ -365,18 +387,20 @@
                 self.look()
 
     def read(self) -> None:
-        decoder, why = resp.Decoder(), "closed by the server"
+        decoder, how, why = resp.Decoder(), ConnectionEnd.CLOSED_BY_SERVER, "closed by the server"
         try:
             while size := self.receive(decoder):
                 self.replies(decoder, size)
                 if self.retired or self.server not in self.send.servers:
                     self.look()
         except OSError as wrong:
-            why = wrong.strerror or type(wrong).__name__
+            how, why = end_of(wrong), wrong.strerror or type(wrong).__name__
         except resp.BadReply as bad:
-            why = f"unreadable: {bad}"
+            how, why = ConnectionEnd.UNREADABLE, f"unreadable: {bad}"
             log.error("unreadable", extra={"kv": {"server": self.server, "why": str(bad)}})
-        self.end(why="closed here" if self.closed else why)
+        if self.closed:
+            how, why = ConnectionEnd.CLOSED_HERE, "closed here"
+        self.end("unsent", how, why)
 
     def replies(self, decoder: resp.Decoder, size: int) -> None:
         """All that one read brought. Answers to one client go out in one write, and the Router hears of them together."""
@@ -410,8 +434,9 @@
         except OSError:
             pass
 
-    def end(self, unwritten: str = "unsent", why: str = "") -> None:
+    def end(self, unwritten: str = "unsent", how: ConnectionEnd = ConnectionEnd.OTHER, why: str = "") -> None:
         """What was not written never ran; only a connection that did not come up speaks against the server."""
+        self.send.connection_ends.add(how)
         with self.lock:
             self.closed = True
             hops = list(self.open.values())
@@ -426,7 +451,8 @@
         self.writing.release()
         self.told()  # by its end
         log.info("connection", extra={"kv": {"server": self.server, "state": "ended", "why": why, "open": len(hops),
-                                             "written": sum(hop.written > 0 for hop in hops)}})
+                                             "written": sum(hop.written > 0 for hop in hops), "address": "%s:%d" % self.address,
+                                             "came_up": int(self.ready)}})
         if any(hop.written for hop in hops):
             self.send.broke = time.monotonic_ns() + EPOCH
         for hop in hops:
--- a/fieldspur/net/logs.py
+++ b/fieldspur/net/logs.py
@@ -1,20 +1,58 @@
-"""Log lines: logging with a key=value formatter, on standard error."""
+"""Log lines, as key=value pairs on standard error, and the counters that they tell."""
 
 from __future__ import annotations
 
 import json
 import logging
 import sys
+import threading
+from enum import Enum
 
 MOST_A_SECOND = 20  # lines of one event, where nobody says otherwise
 
 
+class ReasonCounter:
+    """Counts events by their reason, a member of one enum; any thread may add to it."""
+
+    def __init__(self, reasons: type[Enum]):
+        self.lock = threading.Lock()
+        self.by_reason = dict.fromkeys(reasons, 0)
+
+    def add(self, reason: Enum) -> None:
+        with self.lock:
+            self.by_reason[reason] += 1
+
+    def seen(self, prefix: str) -> dict[str, int]:
+        """The reasons that have occurred, as keys of a log line."""
+        with self.lock:
+            return {f"{prefix}_{reason.name.lower()}": count for reason, count in self.by_reason.items() if count}
+
+
+def peak_memory_mb() -> float:
+    """The most resident memory of this process so far, in MiB (`VmHWM` of proc(5)); 0 where the system does not tell."""
+    try:
+        with open("/proc/self/status", "rb") as status:
+            peak = next(line for line in status if line.startswith(b"VmHWM:"))
+    except (OSError, StopIteration):
+        return 0.0
+    return int(peak.split()[1]) / 1024
+
+
 def word(value) -> str:
     text = f"{value:.3f}" if isinstance(value, float) else str(value)
     plain = text and not any(c in ' ="\\' or not c.isprintable() for c in text)
     return text if plain else json.dumps(text)
 
 
+def error_fields(error: BaseException, trace) -> dict[str, str]:
+    """What an exception is and where it was raised, for a line whose trace comes last and may be cut off."""
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    frame = trace.tb_frame if trace is not None else None
+    place = f"{frame.f_code.co_filename.rpartition('/')[2]}:{trace.tb_lineno}" if frame is not None else "-"
+    return {"error": type(error).__name__, "what": str(error), "at": place}
+
+
 class KeyValue(logging.Formatter):
     """`ts=... level=... part=... event=... key=value ...`"""
 
--- a/fieldspur/net/route.py
+++ b/fieldspur/net/route.py
@@ -10,6 +10,7 @@
 from collections import deque
 
 from fieldspur.gate import Gate
+from fieldspur.host import RESULTS
 from fieldspur.net import resp
 from fieldspur.net.board import ListChange, Purge
 from fieldspur.net.book import Answer, Book, Txn
@@ -60,6 +61,7 @@
         self.gate: Gate | None = None  # while it is there, txns wait for the board's first word
         self.held: dict[int, Txn] = {}  # those, as they came
         self.purges = 0  # how many of those told the Router has
+        self.attempts = dict.fromkeys(RESULTS, 0)  # that ended, by result
 
     # Events. Other threads post them; each is handled by the one thread.
 
@@ -232,6 +234,7 @@
 
     def hop_ended(self, hop: Hop, result: str, took: int, reply: resp.Reply | None) -> None:
         load = reply.load if reply else None
+        self.attempts[result] += 1
         if self.hops.pop((hop.ident, hop.number), None) is not None:
             self.wheel.cancel(hop.cut_at, (hop.ident, hop.number))
         if hop.want is None:
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -10,7 +10,8 @@
 from fieldspur.net import resp
 from fieldspur.net.book import Answer, Book
 from fieldspur.net.holds import holds
-from fieldspur.net.lane import Hop, Lane
+from fieldspur.net.lane import ConnectionEnd, Hop, Lane
+from fieldspur.net.logs import ReasonCounter
 from fieldspur.net.now import EPOCH
 from fieldspur.net.relay import LEFT, UNREAD, Relay
 from fieldspur.permissions import AttemptRules, Refusal
@@ -30,7 +31,8 @@
         self.route = None  # set by it
         self.board, self.looked = None, 0  # the board, set by who has both; when a hop last looked at it
         self.rules = AttemptRules(site.connect_timeout)
-        self.refused: dict[str, int] = {}  # attempts that did not go out, by reason
+        self.refused = ReasonCounter(Refusal)  # attempts that did not go out
+        self.connection_ends = ReasonCounter(ConnectionEnd)
         self.outstanding: dict[int, Hop] = {}  # the attempt of each request that has gone out and has not ended
         self.broke = 0  # when a connection last broke under hops
         self.lock = threading.Lock()
@@ -165,7 +167,7 @@
 
     def take_back(self, hop: Hop, reason: Refusal) -> None:
         """The attempt does not go out: it never ran."""
-        self.refused[reason] = self.refused.get(reason, 0) + 1
+        self.refused.add(reason)
         if log.isEnabledFor(logging.DEBUG):
             log.debug("refused", extra={"kv": {"txn": hop.name, "attempt": hop.number, "server": hop.server, "why": reason.value}})
         with hop.lane.lock:
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -11,6 +11,7 @@
 from fieldspur.net import frames
 from fieldspur.net.admit import Admit
 from fieldspur.net.book import Answer, Book
+from fieldspur.net.logs import ReasonCounter
 from fieldspur.net.now import AWAY, EPOCH, came, lay_for, looks_at
 from fieldspur.net.relay import TICK, Outlet, Relay
 from fieldspur.permissions import Accepting, ClientState, CloseReason, close_reason, may_cut, may_try_again
@@ -186,7 +187,7 @@
         self.ready = self.over = False  # over: the program's end has begun
         self.spare = max(2, most_clients // 16)
         self.clients: set[Client] = set()
-        self.closed_for: dict[CloseReason, int] = {}  # connections closed by this side, by reason
+        self.closed_for = ReasonCounter(CloseReason)  # connections closed by this side
         self.lock = threading.Lock()
         self.room = threading.Condition(self.lock)  # told when a descriptor is free
         self.listener = listen_at(listen)
@@ -213,13 +214,14 @@
         """A connection that was accepted gets its reader, or is closed where there is no room."""
         if len(self.clients) >= self.most_clients and not self.make_room():
             log.warning("clients_full", extra={"kv": {"clients": len(self.clients)}})
-            self.closed_for[CloseReason.DESCRIPTORS] = self.closed_for.get(CloseReason.DESCRIPTORS, 0) + 1
+            self.closed_for.add(CloseReason.DESCRIPTORS)
             sock.close()
             return
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self.gone_after_ms)
         except OSError:  # it was reset before it came here, on systems that say so
+            self.closed_for.add(CloseReason.NO_OPTIONS)
             sock.close()
             return
         client = Client(self, sock)
@@ -229,6 +231,7 @@
             threading.Thread(target=client.read, name="client", daemon=True).start()
         except RuntimeError as wrong:  # the system gives no further thread
             log.error("accept", extra={"kv": {"why": str(wrong)}})
+            self.closed_for.add(CloseReason.NO_THREAD)
             self.ended(client)
 
     def watch(self) -> None:
@@ -256,7 +259,7 @@
 
     def closing_for(self, client: Client, why: CloseReason) -> None:
         """Counts and logs why a client's connection is shut or cut off."""
-        self.closed_for[why] = self.closed_for.get(why, 0) + 1
+        self.closed_for.add(why)
         log.info("closed", extra={"kv": {"why": why.value, "open": len(client.outlet.streams), "held": client.held}})
 
     def make_room(self, none: bool = False) -> bool:
