Discovery's word and the making of a connection are ordered by one lock: no server is looked up twice

The KeyError left the thread, which ends the process. Change: endpoints change under Send.lock, under which a connection is looked for or made, and are looked up once there. So a connection is either made before the removal, which then looks at it, or not made.

--- a/fieldspur/lab/emulate/loop.py
+++ b/fieldspur/lab/emulate/loop.py
@@ -121,6 +121,7 @@
         self.on_data: Callable = lambda held: held.clear()
         self.on_close: Callable = lambda: None
         self.closed = self.ending = False
+        self.reset_by_peer = False  # it ended with a reset, also behind its peer's end: the peer left something unread
         self.paused = False  # reads nothing
         self.total = 0  # bytes read so far
         self.times: deque | None = None  # where kept: (bytes, when the other side's system had taken so many), growing
@@ -147,8 +148,10 @@
         except BlockingIOError:
             return
         except OSError:
+            self.reset_by_peer = True
             return self.close()
         if not data:
+            self.reset_by_peer = bool(self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
             return self.close()
         self.held += data
         self.total += len(data)
--- a/fieldspur/lab/emulate/proxy.py
+++ b/fieldspur/lab/emulate/proxy.py
@@ -8,6 +8,7 @@
 import random
 from collections import deque
 
+from fieldspur.bench.path import free_port
 from fieldspur.lab.emulate import queues
 from fieldspur.lab.emulate.loop import Conn, Loop
 
@@ -42,6 +43,10 @@
     def back(self) -> None:
         self.listener = self.loop.listen(self.accepted, self.port)
 
+    def move(self) -> None:
+        """While it is down: it comes back at another address."""
+        self.port = free_port()
+
 
 class Tunnel:
     """One connection of a router, and the one made for it."""
--- a/fieldspur/lab/plays/scenario.py
+++ b/fieldspur/lab/plays/scenario.py
@@ -61,6 +61,8 @@
     hurried: float = 0.0  # share of requests with a short time limit (soak)
     churn: float = 0.0  # share of answers after which a client closes its connection, where nothing is open on it (soak)
     hang_ups: float = 0.0  # connections a second that clients close in the middle of their requests (soak)
+    deadline_s: float = 0.0  # most that a request of any class has; 0: as the settings say (soak)
+    stays: float = 0.0  # share of connections that clients use on and on after their router has said that it ends (soak)
 
 
 class Fault(Part, kw_only=True):
@@ -71,12 +73,12 @@
                   "store_slow", "router_restart", "board_break", "reload", "router_kill", "router_pause", "router_hup", "link_cut",
                   "link_stall", "link_delay", "link_lose", "net_delay", "net_pieces", "net_stall", "net_cut", "watch_stall", "watch_cut",
                   "clock_step", "accept_fails", "socket_fails", "connect_fails", "interrupted", "short_io", "broken_io", "late_dials",
-                  "disk_fails"]
+                  "disk_fails", "mass_crash", "list_flaps", "crowd"]
     who: str = ""  # a server's name, "caches", "parents", routers by number or "acting"; links: "0>1" (what 0 reads of 1), "0,1|2"
     share: float = 1.0  # of the servers that `who` names
     lasts: float = 0.0  # seconds after which it is over; 0: it stays
     # slow and store_slow: so many times longer; late, net_delay and late_dials: ms more; clock_step: seconds; failing calls: so many of
-    # a thousand; net_cut: bytes until the cut
+    # a thousand; net_cut: bytes until the cut; mass_crash: ms until discovery removes them; crowd: idle connections at each router
     times: float = 10.0
     group: int = -1  # purge: of one group; below 0 all groups
     forget: bool = False  # router_kill: what it kept in its folder is lost
--- a/fieldspur/lab/soak/plan.py
+++ b/fieldspur/lab/soak/plan.py
@@ -5,6 +5,8 @@
 import random
 from dataclasses import dataclass
 
+import msgspec
+
 from fieldspur.lab.plays.scenario import Class, Fault, Load, Scenario, Servers
 
 FIRST_AT, WINDOW_S, QUIET_S = 4.0, 5.0, 4.0  # s: the first troubles; how long a window of them is; none at the end
@@ -18,7 +20,7 @@
     """One kind of trouble: what happens, to whom, for how long, how strongly."""
 
     what: str
-    who: str  # "cache", "parent", "caches", "routers" (some), "router" (one), "all" or ""
+    who: str  # "cache", "parent", "caches", "parents", "few" routers, "routers" (some), "router" (one), "all" or ""
     lasts: tuple[float, float]
     times: tuple[float, float] = (10.0, 10.0)
     weight: float = 1.0
@@ -41,18 +43,40 @@
     Trouble("interrupted", "all", (2.0, 4.0), (50, 300)), Trouble("short_io", "all", (2.0, 4.0), (100, 500)),
     Trouble("broken_io", "routers", (1.0, 3.0), (5, 40)), Trouble("late_dials", "all", (2.0, 5.0), (100, 350), weight=2))
 
+# Drawn by a chance of their own, so that what a seed drew of the others stays: they came after the incident of issue 40.
+LATER_TROUBLES = (
+    Trouble("mass_crash", "caches", (0.2, 2.0), (50, 200), weight=4), Trouble("mass_crash", "parents", (0.2, 1.5), (50, 200)),
+    Trouble("list_flaps", "caches", (0.5, 2.0), weight=2), Trouble("list_flaps", "parents", (0.5, 1.5)),
+    Trouble("crowd", "few", (2.0, 5.0), (60, 160), weight=2))
+LATER_SHARE = 0.6  # of the windows that have one of them
+DEADLINES = (0.0, 0.0, 1.0, 1.5, 2.0)  # s: most that a request has; 0: what the settings say
+STAYS = (0.0, 0.3, 0.7)  # shares of connections that are used until their router is killed
+MOST_CROWDED = 3  # routers at a time
+
 
 def fault(chance: random.Random, trouble: Trouble, at: float, routers: int, servers: Servers) -> Fault:
     """The trouble as a fault of a scenario."""
     some = ",".join(map(str, sorted(chance.sample(range(routers), chance.randint(1, max(1, routers // 2))))))
+    few = ",".join(map(str, sorted(chance.sample(range(routers), min(routers, MOST_CROWDED))))) if trouble.who == "few" else ""
     who = {"cache": f"cache-{chance.randrange(servers.caches)}", "parent": f"parent-{chance.randrange(servers.parents)}",
-           "caches": "caches", "routers": some, "router": str(chance.randrange(routers)),
+           "caches": "caches", "parents": "parents", "few": few, "routers": some, "router": str(chance.randrange(routers)),
            "all": ",".join(map(str, range(routers)))}.get(trouble.who, "")
     times = chance.choice(CLOCK_STEPS) if trouble.what == "clock_step" else round(chance.uniform(*trouble.times), 1)
     return Fault(at=round(at, 2), what=trouble.what, who=who, lasts=round(chance.uniform(*trouble.lasts), 2), times=times,
                  share=round(chance.uniform(0.3, 1.0), 2), group=-1 if chance.random() < 0.5 else chance.randrange(256))
 
 
+def later_faults(chance: random.Random, seconds: float, routers: int, servers: Servers) -> list[Fault]:
+    """Of LATER_TROUBLES, one or two in most windows."""
+    found, at = [], FIRST_AT
+    while at < seconds - QUIET_S:
+        drawn = chance.choices(LATER_TROUBLES, [trouble.weight for trouble in LATER_TROUBLES], k=chance.choice((1, 1, 2)))
+        if chance.random() < LATER_SHARE:
+            found += [fault(chance, trouble, at + chance.uniform(0, SPREAD_S), routers, servers) for trouble in drawn]
+        at += WINDOW_S
+    return found
+
+
 def plan(seed: int, seconds: float, routers: int | None = None) -> Scenario:
     """What the soak plays with this seed; alike each time."""
     chance = random.Random(f"soak {seed}")
@@ -72,6 +96,9 @@
         for trouble in chance.sample(kinds, min(len(kinds), chance.choice((2, 3, 3, 4)))):
             faults.append(fault(chance, trouble, at + chance.uniform(0, SPREAD_S), routers, servers))
         at += WINDOW_S
+    later = random.Random(f"soak later {seed}")
+    faults += later_faults(later, seconds, routers, servers)
+    load = msgspec.structs.replace(load, deadline_s=later.choice(DEADLINES), stays=later.choice(STAYS))
     faults = [one for one in faults if one.at < seconds - QUIET_S + SPREAD_S]
     return Scenario(name="soak", about="random troubles that overlap", seed=seed, seconds=seconds, warm=0.0, routers=routers,
                     memory_mb=128, sockets=256, servers=servers, load=load, faults=tuple(sorted(faults, key=lambda one: one.at)))
--- /dev/null
+++ b/fieldspur/lab/soak/world.py
@@ -0,0 +1,113 @@
+"""Servers behind fault proxies, crashed and listed as the soak's troubles want it."""
+
+from __future__ import annotations
+
+import random
+
+from fieldspur.bench.path import free_port
+from fieldspur.lab.emulate.loop import Conn
+from fieldspur.lab.emulate.model import MS, SECOND
+from fieldspur.lab.emulate.proxy import Proxy
+from fieldspur.lab.emulate.servers import Front, World
+
+CRASH_SPREAD, REMOVAL_SPREAD = 10 * MS, 60 * MS
+FLAP = 10, 30  # ms between two words of discovery about a server
+
+
+class SoakWorld(World):
+    """Servers behind fault proxies."""
+
+    def __init__(self, *about):
+        self.proxies: dict[str, Proxy] = {}
+        self.origins: dict[int, Conn] = {}  # connections of routers, by the local port of the one made for each
+        super().__init__(*about)
+
+    def port_of(self, name: str) -> int:
+        if name not in self.proxies:
+            self.proxies[name] = Proxy(self.loop, self.fronts[name].port, random.Random(f"{self.plan.seed} {name}"), self.origins)
+        return self.proxies[name].port
+
+    def times_of(self, conn: Conn):
+        origin = self.origins.get(conn.sock.getpeername()[1])
+        return origin.times if origin is not None else super().times_of(conn)
+
+    def down(self, name: str) -> None:
+        if self.models[name].up:  # another trouble may have it down already
+            super().down(name)
+            self.proxies[name].down()
+
+    def back(self, name: str) -> None:
+        if not self.models[name].up:
+            self.proxies[name].back()
+            super().back(name)
+
+    def mass_crash(self, fault, names: list[str]):
+        """All crash within `CRASH_SPREAD`; discovery removes them, together or one by one, and lists those that are back, each at its
+        address or at another."""
+        for name in names:
+            self.loop.later(int(self.random.random() * CRASH_SPREAD), lambda name=name: self.down(name))
+        self.loop.later(int(fault.times * MS), lambda: self.removed(names))
+        return lambda: [self.return_of(name) for name in names]
+
+    def removed(self, names: list[str]) -> None:
+        gone = [name for name in names if not self.models[name].up]
+        if self.random.random() < 0.5:
+            return self.tell(gone, "removed") if gone else None
+        for name in gone:
+            self.loop.later(int(self.random.random() * REMOVAL_SPREAD), lambda name=name: self.tell([name], "removed"))
+
+    def return_of(self, name: str) -> None:
+        if self.models[name].up:  # another trouble has brought it back
+            return self.tell([name], "up")
+        if self.random.random() < 0.3:
+            self.proxies[name].move()
+        self.back(name)
+
+    def list_flaps(self, fault, names: list[str]) -> None:
+        """Servers that stay as they are leave the list and come again, some first with an address that refuses."""
+        until = self.loop.now() + int(fault.lasts * SECOND)
+        for name in names:
+            self.flap(name, until)
+
+    def flap(self, name: str, until: int) -> None:
+        if self.loop.now() >= until:
+            return
+        self.tell([name], "removed")
+        wait = self.random.randint(*FLAP) * MS
+        if self.random.random() < 0.5:
+            row = self.row(name) | {"address": "127.0.0.1:%d" % free_port()}
+            self.loop.later(wait, lambda: self.tell_rows([row], "up"))
+            wait += self.random.randint(*FLAP) * MS
+        self.loop.later(wait, lambda: self.tell([name], "up"))
+        self.loop.later(wait + self.random.randint(*FLAP) * MS, lambda: self.flap(name, until))
+
+    def other(self, fault, names: list[str]):
+        proxies = [self.proxies[name] for name in names if name in self.proxies]
+        if fault.what == "net_delay":
+            return self.setting(proxies, "delay", int(fault.times * MS), 0)
+        if fault.what == "net_pieces":
+            return self.setting(proxies, "pieces", True, False)
+        if fault.what == "net_cut":
+            return self.setting(proxies, "cut_after", int(fault.times), 0)
+        if fault.what == "net_stall":
+            for proxy in proxies:
+                proxy.stall(True)
+            return lambda: [proxy.stall(False) for proxy in proxies]
+        if fault.what == "mass_crash":
+            return self.mass_crash(fault, names)
+        if fault.what == "list_flaps":
+            return self.list_flaps(fault, names)
+        return super().other(fault, names)
+
+    @staticmethod
+    def setting(proxies: list[Proxy], name: str, value, after):
+        for proxy in proxies:
+            setattr(proxy, name, value)
+        return lambda: [setattr(proxy, name, after) for proxy in proxies]
+
+    def unread(self, name: str) -> bool:
+        """Whether the server reads nothing, so that an end written to it is not seen."""
+        front: Front | None = self.fronts.get(name)
+        proxy = self.proxies.get(name)
+        return front is None or any(conn.paused for conn in front.conns) or proxy is None or proxy.stalled or proxy.delay > 0 or any(
+            tunnel.router.paused or tunnel.waiting for tunnel in proxy.tunnels)
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -43,15 +43,16 @@
         self.behind: dict[int, Hop] = {}
 
     def listed(self, name: str, address: tuple[str, int], state: str) -> None:
-        before = self.servers.get(name)
-        self.rules.listed(name, address, state)
+        """Discovery's word, by its thread. The endpoints change under the lock under which attempts get their connections: a connection
+        is either made before and looked at here, or is not made."""
+        with self.lock:
+            before = self.servers.get(name)
+            self.rules.listed(name, address, state)
+            lanes = list(self.lanes.get(name, ())) if name not in self.servers else ()
         if before is None or before.state != state:
             log.info("endpoint", extra={"kv": {"server": name, "state": state, "was": before.state if before else "-"}})
-        if name not in self.servers:
-            with self.lock:
-                lanes = list(self.lanes.get(name, ()))
-            for lane in lanes:
-                lane.look()
+        for lane in lanes:
+            lane.look()
 
     def hop(self, hop: Hop) -> Lane | None:
         """The hop waits in the lane given back, to be pumped; its end is reported later, whatever happens."""
@@ -66,9 +67,10 @@
                 return lane
 
     def lane_for(self, hop: Hop) -> Lane | None:
-        if hop.server not in self.servers:
-            return None
         with self.lock:
+            endpoint = self.servers.get(hop.server)  # once: discovery's thread may remove it at any moment
+            if endpoint is None:
+                return None
             lanes = self.lanes.setdefault(hop.server, [])
             free = [lane for lane in lanes if lane.takes(hop)]
             best = min(free, key=lambda lane: len(lane.open)) if free else None
@@ -80,7 +82,7 @@
                 log.warning("lanes_full", extra={"kv": {"server": hop.server, "lanes": self.most_lanes}})
                 return None
             try:
-                lanes.append(Lane(self, hop.server, self.servers[hop.server].address, patient=best is None))
+                lanes.append(Lane(self, hop.server, endpoint.address, patient=best is None))
             except (RuntimeError, OSError) as wrong:  # the system gives no further thread or descriptor
                 log.error("no_lane", extra={"kv": {"server": hop.server, "why": str(wrong)}})
                 return best
