Failing tests: attempts that go where their server no longer is, or to a process started in its place

Found by reading: a connection is kept by its server's name when that is listed at another address; an attempt that was decided for a warm process may be written to the cold one that has taken its place, in no budget of its slow start, for cache and source alike. Checked: each test fails for that reason (the cache at the old address, or the new process, gets the attempt).

--- a/tests/test_mass_crash.py
+++ b/tests/test_mass_crash.py
@@ -5,10 +5,15 @@
 import threading
 import time
 
+from fieldspur.decide import MS, SECOND
+from fieldspur.net.board import ListChange
 from fieldspur.net.logs import ReasonCounter, error_fields
+from fieldspur.net.wheel import NEVER
 from fieldspur.permissions import CloseReason
-from helpers import Cache, Service, endpoint, sender, until
+from fieldspur.record import replace
+from helpers import Cache, Service, clock, endpoint, sender, until
 from test_crossings import stays, taken
+from test_first_bytes import route_to, row
 
 
 class LetsIn:
@@ -125,3 +130,50 @@
     while any(thread.is_alive() for thread in threads):
         counter.seen("closed")
     assert counter.seen("closed") == {"closed_idle": 2 * counted, "closed_descriptors": counted}
+
+
+def test_an_attempt_goes_to_where_its_server_is_listed_now_whatever_connection_stands():
+    """A server that is listed at another address: its old connection leads to a process that was removed, or to another server's."""
+    old, new = Cache(lambda want: None), Cache(lambda want: None)
+    send = sender(old.address)
+    send.hop(taken(send, stays(send), ident=5)).pump()
+    until(lambda: old.wants)
+    host, port = new.address.split(":")
+    send.listed("c0", (host, int(port)), "up")
+    send.hop(taken(send, stays(send), ident=6)).pump()
+    until(lambda: new.wants)
+    assert len(old.wants) == len(new.wants) == 1
+
+
+def test_an_attempt_that_waits_for_a_server_that_is_listed_elsewhere_meanwhile_is_not_written_there(monkeypatch):
+    old, new = Cache(lambda want: None), Cache(lambda want: None)
+    dialled, connect = threading.Event(), socket.socket.connect
+    monkeypatch.setattr(socket.socket, "connect", lambda sock, where: (dialled.wait(5), connect(sock, where)))
+    send = sender(old.address)
+    attempt = taken(send, stays(send))
+    send.hop(attempt)
+    host, port = new.address.split(":")
+    send.listed("c0", (host, int(port)), "up")
+    dialled.set()
+    assert [about[:2] for about in until(lambda: send.route.posted)] == [(attempt, "unsent")]
+    assert not attempt.written and not old.wants
+
+
+def test_an_attempt_that_was_decided_for_a_process_does_not_go_to_the_one_that_was_started_in_its_place():
+    """It was in no budget of the new one's slow start. The Router hears of the start in its turn, and decides anew after that."""
+    for restarts in ("server", "source"):
+        cache = Cache(lambda want: None)
+        send, route = route_to(cache)
+        parent = replace(row(cache, "up"), name="p0", kind="parent")
+        route.list_told(ListChange(False, (parent,)))
+        taken(send, stays(send), ident=5)
+        with route.lock:  # the Router is at something, and has not heard of the start
+            route.hop(5, "c0", clock() + 3 * SECOND, "p0", 0, 0, False, False, True, NEVER)
+            lane = route.outbox[-1][0]
+            until(lambda: lane.ready)
+            before = row(cache, "up") if restarts == "server" else parent
+            route.list_told(ListChange(False, (replace(before, started=clock() // MS * MS),)))
+            lane.pump()
+            time.sleep(0.1)
+            assert not cache.wants, restarts
+            assert [posted[0] for posted in route.queue] == [route.list_changed, route.hop_ended]
