An attempt is tied to the process and the address that it was decided for, until it is written

Change: an attempt carries the starts of its cache and of its fill source as the Router knew them, and the address of its connection; the one place that decides whether it may go out refuses it where discovery has told otherwise since (server_moved, server_restarted, source_restarted, counted by reason), and the Router decides anew after it has heard. Connections to an address that is listed no more are retired, and closed once nothing is open on them.

--- a/fieldspur/net/lane.py
+++ b/fieldspur/net/lane.py
@@ -64,6 +64,9 @@
     group: int = -1  # of the object, for purges
     purges: int = 0  # how many purges were known when it was decided
     go_by: int = NEVER  # when it has to have gone out
+    started: int = 0  # start of the server's process that it was decided for, as discovery told it; the same of the source's
+    source_started: int = 0
+    address: tuple[str, int] | None = None  # that its connection leads to
     lane: Lane | None = None
     written: int = 0  # when it went out, 0 before
     ended: bool = False
@@ -127,7 +130,7 @@
         with self.lock:
             if self.closed or not sure and not self.takes(hop):
                 return False
-            hop.lane = self
+            hop.lane, hop.address = self, self.address
             self.open[hop.name] = hop
             self.queue.append(hop)
             return True
--- a/fieldspur/net/route.py
+++ b/fieldspur/net/route.py
@@ -25,6 +25,7 @@
 log = logging.getLogger("fieldspur.route")
 FADE, FADE_STEP = 1_000 * MS, 1 * MS  # in which most of a lag is forgotten; how often that is worked out
 ALARM, PROBE, HELD = -1, 0, -2  # in place of a txn's number
+UNKNOWN = 0, 0  # start of a server that is not listed, or has stood from the first
 BY_ROUTER = -1  # in place of a hop's number: its own answers
 MOST_QUEUED = 512  # events; beyond, new txns are rejected at once
 AT_ONCE, MOST_FOR_OTHERS = 16, 8  # events under one lock; such turns that a thread takes on end
@@ -270,14 +271,14 @@
                 log.error("unlisted", extra={"kv": {"server": s.name, "why": "unknown zone or kind"}})
         for s in rows:
             if s.state == "up":
-                self.sender.listed(s.name, s.address, s.state)
+                self.sender.listed(s.name, s.address, s.state, s.started)
         if now:
             self.list_changed(change.complete, rows, live=False)
         else:
             self.queue.append((self.list_changed, (change.complete, rows), time.monotonic_ns() + EPOCH))
         for s in rows:
             if s.state != "up":
-                self.sender.listed(s.name, s.address, s.state)
+                self.sender.listed(s.name, s.address, s.state, s.started)
         if change.complete:
             for name in set(self.sender.servers) - {s.name for s in change.servers}:
                 self.sender.listed(name, ("", 0), "gone")
@@ -295,7 +296,7 @@
 
     def started(self, s, live: bool) -> int:
         """When a server started, by this process' clock; one that is told again has not started again, whoever set a clock meanwhile."""
-        told, at = self.starts.pop(s.name, (0, 0))
+        told, at = self.starts.pop(s.name, UNKNOWN)
         if s.started != told:
             fleet = self.router.fleet
             ramp = fleet.cold[self.site.kinds.index(s.kind) == fleet.parent_kind][2]
@@ -331,7 +332,8 @@
                          source, rank, max(1, max_age // MS) if max_age else 0, join, renew and source is not None,
                          fetch, txn.tag, txn.body)
         hop = Hop(ident, txn.hops, txn.name, server, source, want, self.clock, cut_at, txn.group,
-                  NEVER if self.site.rules[txn.rule_at].never_kept else self.purges, go_by)
+                  NEVER if self.site.rules[txn.rule_at].never_kept else self.purges, go_by,
+                  self.starts.get(server, UNKNOWN)[0], self.starts.get(source, UNKNOWN)[0])
         txn.hops += 1
         self.go(hop)
 
@@ -384,7 +386,7 @@
     def probe(self, server) -> None:
         number = next(self.order)
         self.go(Hop(PROBE, number, f"busy-{number}", server, None, None, self.clock,
-                    self.clock + self.site.connect_timeout))
+                    self.clock + self.site.connect_timeout, started=self.starts.get(server, UNKNOWN)[0]))
 
     def log(self, text) -> None:
         log.info("decided", extra={"kv": {"text": text}})
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -42,13 +42,16 @@
         self.untold: dict[int, Hop] = {}
         self.behind: dict[int, Hop] = {}
 
-    def listed(self, name: str, address: tuple[str, int], state: str) -> None:
+    def listed(self, name: str, address: tuple[str, int], state: str, started: int = 0) -> None:
         """Discovery's word, by its thread. The endpoints change under the lock under which attempts get their connections: a connection
         is either made before and looked at here, or is not made."""
         with self.lock:
             before = self.servers.get(name)
-            self.rules.listed(name, address, state)
-            lanes = list(self.lanes.get(name, ())) if name not in self.servers else ()
+            self.rules.listed(name, address, state, started)
+            now = self.servers.get(name)
+            lanes = [lane for lane in self.lanes.get(name, ()) if now is None or now.address != lane.address]
+            for lane in lanes:
+                lane.retired = True  # what is under way there may end
         if before is None or before.state != state:
             log.info("endpoint", extra={"kv": {"server": name, "state": state, "was": before.state if before else "-"}})
         for lane in lanes:
--- a/fieldspur/permissions.py
+++ b/fieldspur/permissions.py
@@ -32,7 +32,10 @@
     """Why an attempt may not go out, or a request not be taken or sent again."""
 
     SERVER_NOT_UP = "server_not_up"
+    SERVER_MOVED = "server_moved"  # it is listed at another address than the attempt's connection leads to
+    SERVER_RESTARTED = "server_restarted"  # another process stands in its place than the one that the attempt was decided for
     SOURCE_NOT_UP = "source_not_up"
+    SOURCE_RESTARTED = "source_restarted"
     PLACEMENT_IN_DOUBT = "placement_in_doubt"  # the fleet may have given the server out for maintenance
     PURGED_SINCE = "purged_since"  # it would ask for a copy older than a purge
     WAITED_TOO_LONG = "waited_too_long"  # for its connection
@@ -79,10 +82,12 @@
 
 @record(frozen=True)
 class Endpoint:
-    """Where a listed server is, and its state as discovery tells it."""
+    """A listed server as discovery tells it: where it is, its state, and which process it is, by that one's start (Unix ns; 0: it has
+    stood from the first)."""
 
     address: tuple[str, int]
     state: str
+    started: int = 0
 
 
 class AttemptRules:
@@ -95,12 +100,12 @@
         self.purges = 0  # told so far
         self.purged: dict = {}  # by object or group: (number of the latest purge, when it was told)
 
-    def listed(self, name: str, address: tuple[str, int], state: str) -> None:
+    def listed(self, name: str, address: tuple[str, int], state: str, started: int = 0) -> None:
         """Discovery told of an endpoint; one that is gone is forgotten, and with it where it was."""
         if state == GONE:
             self.endpoints.pop(name, None)
         else:
-            self.endpoints[name] = Endpoint(address, state)
+            self.endpoints[name] = Endpoint(address, state, started)
 
     def purge_told(self, key: str | int, now: int) -> None:
         """Attempts decided before, and not written, would ask for copies too old. One older than a dial may take is not written at all, so
@@ -111,11 +116,15 @@
         self.purged[key] = self.purges, now
 
     def refusal(self, attempt, now: int) -> Refusal | None:
-        """Why an attempt that was decided a while ago may not go out now. `attempt` has server, source, asked, go_by, cut_at, group,
-        purges and want (None for a probe)."""
+        """Why an attempt that was decided a while ago may not go out now. `attempt` has server and source, the starts of both as they
+        were known to who decided, the address of its connection, asked, go_by, cut_at, group, purges and want (None for a probe)."""
         endpoint = self.endpoints.get(attempt.server)
         if endpoint is None or endpoint.state != UP:
             return Refusal.SERVER_NOT_UP
+        if endpoint.address != attempt.address:
+            return Refusal.SERVER_MOVED
+        if endpoint.started != attempt.started:
+            return Refusal.SERVER_RESTARTED
         if now - attempt.asked > self.dial_limit:
             return Refusal.WAITED_TOO_LONG
         if now > attempt.go_by:
@@ -127,6 +136,8 @@
             endpoint = self.endpoints.get(source)
             if endpoint is None or endpoint.state != UP:
                 return Refusal.SOURCE_NOT_UP
+            if endpoint.started != attempt.source_started:
+                return Refusal.SOURCE_RESTARTED
         if self.in_doubt is not None and (self.in_doubt(attempt.server) or source is not None and self.in_doubt(source)):
             return Refusal.PLACEMENT_IN_DOUBT
         if self.purged and attempt.want is not None and attempt.purges < max(
--- a/tests/test_mass_crash.py
+++ b/tests/test_mass_crash.py
@@ -147,8 +147,7 @@
 
 def test_an_attempt_that_waits_for_a_server_that_is_listed_elsewhere_meanwhile_is_not_written_there(monkeypatch):
     old, new = Cache(lambda want: None), Cache(lambda want: None)
-    dialled, connect = threading.Event(), socket.socket.connect
-    monkeypatch.setattr(socket.socket, "connect", lambda sock, where: (dialled.wait(5), connect(sock, where)))
+    dialled = dials_wait(monkeypatch)
     send = sender(old.address)
     attempt = taken(send, stays(send))
     send.hop(attempt)
@@ -159,7 +158,14 @@
     assert not attempt.written and not old.wants
 
 
-def test_an_attempt_that_was_decided_for_a_process_does_not_go_to_the_one_that_was_started_in_its_place():
+def dials_wait(monkeypatch):
+    """From now on, connections come up only once the event given back is set."""
+    dialled, connect = threading.Event(), socket.socket.connect
+    monkeypatch.setattr(socket.socket, "connect", lambda sock, where: (dialled.wait(5), connect(sock, where)))
+    return dialled
+
+
+def test_an_attempt_that_was_decided_for_a_process_does_not_go_to_the_one_that_was_started_in_its_place(monkeypatch):
     """It was in no budget of the new one's slow start. The Router hears of the start in its turn, and decides anew after that."""
     for restarts in ("server", "source"):
         cache = Cache(lambda want: None)
@@ -167,13 +173,14 @@
         parent = replace(row(cache, "up"), name="p0", kind="parent")
         route.list_told(ListChange(False, (parent,)))
         taken(send, stays(send), ident=5)
+        dialled = dials_wait(monkeypatch)
         with route.lock:  # the Router is at something, and has not heard of the start
             route.hop(5, "c0", clock() + 3 * SECOND, "p0", 0, 0, False, False, True, NEVER)
             lane = route.outbox[-1][0]
-            until(lambda: lane.ready)
             before = row(cache, "up") if restarts == "server" else parent
             route.list_told(ListChange(False, (replace(before, started=clock() // MS * MS),)))
-            lane.pump()
+            dialled.set()
+            until(lambda: lane.ready)
             time.sleep(0.1)
             assert not cache.wants, restarts
             assert [posted[0] for posted in route.queue] == [route.list_changed, route.hop_ended]
