--- /dev/null
+++ b/tests/test_shared_state.py
@@ -0,0 +1,94 @@
+"""State that several threads touch, each crossing forced: what is looked at and what is used is one and the same."""
+
+import threading
+import time
+from collections import deque
+from types import SimpleNamespace
+
+from fieldspur.decide import MS
+from fieldspur.net.lane import Hop, keep_little
+from fieldspur.net.send import LOOK_BOARD
+from helpers import Cache, Stalled, clock, sender, until
+from test_crossings import stays, taken
+from test_mass_crash import dials_wait
+
+
+class Emptied(deque):
+    """A queue out of which another thread takes all between the second look at its length and the use of that."""
+
+    looks = 0
+
+    def __len__(self):
+        size = super().__len__()
+        self.looks += bool(size)
+        if self.looks == 2:
+            self.clear()
+        return size
+
+
+def test_an_attempt_that_is_taken_back_in_the_moment_of_its_write_costs_nobody_else(monkeypatch):
+    """A purge or a change of the list takes attempts out of a connection's queue, by its own thread."""
+    failed = []
+    monkeypatch.setattr(threading, "excepthook", failed.append)
+    cache = Cache(lambda want: None)
+    dialled = dials_wait(monkeypatch)
+    send = sender(cache.address)
+    lane = send.hop(taken(send, stays(send), ident=5))
+    lane.queue = Emptied(lane.queue)
+    dialled.set()
+    until(lambda: lane.ready and lane.queue.looks > 1)
+    send.hop(taken(send, stays(send), ident=6)).pump()
+    until(lambda: [want["id"] for want in cache.wants] == ["%016x" % 6])
+    assert not failed
+
+
+def test_a_probe_that_is_cut_by_a_full_socket_is_finished_like_any_message():
+    """It carries no request, and so no key, which the thread that finishes it asked for."""
+    cache = Stalled()
+    send = sender(cache.address)
+    probe = Hop(0, 1, "busy-1", "c0", None, None, clock())
+    lane = send.hop(probe)
+    until(lambda: lane.ready)
+    until(lambda: not lane.queue)
+    failed = []
+    finished = threading.Thread(target=lambda: failed.extend(raised_by(lane.drain)))
+    with lane.writing:
+        lane.left, lane.cut, lane.draining = [b"*1\r\n$4\r\nrest\r\n"], probe, True
+        keep_little(lane.sock)
+    finished.start()
+    finished.join(5)
+    assert not failed and not lane.draining and not lane.left
+
+
+def raised_by(call):
+    try:
+        call()
+    except Exception as error:
+        return [error]
+    return []
+
+
+def slow_look(look, order):
+    """A look at a client that takes longer than discovery's last word is good for."""
+    def looks(hop):
+        order.append(hop.ident)
+        time.sleep(2 * LOOK_BOARD / 1e9)
+        return look(hop)
+    return looks
+
+
+def test_attempts_of_one_write_wait_for_discovery_before_they_are_looked_at_and_not_between(monkeypatch):
+    """Else the first of them goes out by what was right before that wait, its deadline too large by it."""
+    cache, order = Cache(lambda want: None), []
+    dialled = dials_wait(monkeypatch)
+    send = sender(cache.address)
+    attempts = [taken(send, stays(send), ident=ident, before_ms=50) for ident in (5, 6)]
+    for attempt in attempts:
+        attempt.cut_at = clock() + 3000 * MS
+        outlet = send.book.open[attempt.ident].outlet
+        monkeypatch.setattr(outlet, "look", slow_look(outlet.look, order))
+        lane = send.hop(attempt)
+    send.looked, send.board = 0, SimpleNamespace(caught_up=lambda: order.append("waits"))
+    dialled.set()
+    until(lambda: len(cache.wants) == 2)
+    assert order == ["waits", 5, 6] and lane.ready
