An attempt's write takes from its queue in one step, and waits for discovery before any look

Cause: state that another thread changes was looked at and used in two steps (Lane.write and its queue), and a wait stood between the look at one attempt and the write of it together with others. Change: the attempt to be written is taken in one step that may find none; discovery is waited for once before the attempts of a write are looked at; a probe cut by a full socket is finished like any message. Checked: test_first_bytes, test_watches, test_faults, test_crossings, test_mass_crash green.

--- a/fieldspur/net/lane.py
+++ b/fieldspur/net/lane.py
@@ -25,6 +25,7 @@
 DIAL_PAUSE = 0.02  # seconds between two tries of a dial that fails on this machine
 LOOK_ROOM = 200  # ms after which a wait for room in a socket looks whether the connection has ended
 UNSENT = 16_384  # bytes that the system may hold and not yet have sent when it takes more: what waits can be taken back
+LOOK_BOARD = 50 * MS  # so old may the last look be at whether discovery's word lies unread, when attempts are written
 ANY = 1 << 30  # the same for what has begun
 
 
@@ -219,8 +220,13 @@
             if not self.poll().poll(0):
                 return [], None, True
             self.past = False
-        if len(self.queue) == 1 and self.queue[0].want is not None:
-            hop = self.queue.popleft()  # the ordinary case of what follows
+        if time.monotonic_ns() + EPOCH - self.send.looked > LOOK_BOARD:
+            self.send.catch_up()  # before any is looked at: nothing may wait between the look at one and its write
+        try:  # as `next_attempt`, without a call in the ordinary case
+            hop = self.queue.popleft()
+        except IndexError:
+            return (), None, False
+        if hop.want is not None and not self.queue:  # the ordinary case of what follows
             if not self.send.begin(hop):
                 return (), None, False
             data = resp.want(hop.want)
@@ -231,10 +237,10 @@
                 raise
             return self.put_back([(hop, data)], left) if left else ((), None, False)
         messages = []
-        while self.queue and len(messages) < MOST_AT_ONCE:
-            hop = self.queue.popleft()
+        while hop is not None:
             if self.send.begin(hop):
                 messages.append((hop, resp.want(hop.want) if hop.want else (resp.probe(hop.name),)))
+            hop = self.next_attempt() if len(messages) < MOST_AT_ONCE else None
         if not messages:
             return (), None, False
         data = [piece for _, pieces in messages for piece in pieces]
@@ -248,6 +254,13 @@
             raise
         return self.put_back(messages, left) if left else ((), None, False)
 
+    def next_attempt(self) -> Hop | None:
+        """Takes the next one that waits, if any: `sift` may take out any of them at any moment, by another thread."""
+        try:
+            return self.queue.popleft()
+        except IndexError:
+            return None
+
     def put_back(self, messages: list, left: list) -> tuple[list, Hop | None, bool]:
         """Guards against a hop whose first byte goes out long after it was looked at: a server that does not read, a
         full socket. So much is left of these messages; all that have not begun wait again, in their order."""
@@ -299,7 +312,8 @@
                 if self.left:
                     cut = self.cut
                     keep_little(self.sock, ANY)
-                    self.finish(list(self.left), cut.go_by if cut is not None and cut.number and cut.want.key else NEVER)
+                    keyed = cut is not None and cut.number and cut.want is not None and cut.want.key
+                    self.finish(list(self.left), cut.go_by if keyed else NEVER)
                     keep_little(self.sock)
                     self.told()  # before others may say something
                     self.left, self.cut = [], None
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -20,7 +20,6 @@
 log = logging.getLogger("fieldspur.send")
 LOOK_CLIENT = 20 * MS  # a txn taken that long ago has waited for something: its client may have left meanwhile
 LOOK_IDLE = 20 * MS  # a connection on which nothing came for that long may have been closed meanwhile
-LOOK_BOARD = 50 * MS  # so old may the last look be at whether the board's word lies unread, when a hop is written
 
 
 class Send:
@@ -125,14 +124,17 @@
         for lane in lanes:
             lane.sift()
 
+    def catch_up(self) -> None:
+        """Waits, a moment at most, for what discovery has sent and is not told yet."""
+        if self.board is not None:
+            self.board.caught_up()
+            self.looked = time.monotonic_ns() + EPOCH
+
     def begin(self, hop: Hop) -> bool:
         """Just before a hop is written: it may have been given up, or not be right any more, or its client may have gone: of a txn
         that has waited, a close, reset or withdrawal may lie unread in the socket. What lies there is for the client's own reader,
         which puts the hop back into its queue once it has worked that off."""
         now = time.monotonic_ns() + EPOCH
-        if now - self.looked > LOOK_BOARD and self.board is not None:
-            self.board.caught_up()
-            self.looked = now = time.monotonic_ns() + EPOCH
         if hop.ended:
             return False
         if now - hop.lane.heard > LOOK_IDLE and hop.lane.over():
--- a/tests/test_mass_crash.py
+++ b/tests/test_mass_crash.py
@@ -147,9 +147,9 @@
 
 def test_an_attempt_that_waits_for_a_server_that_is_listed_elsewhere_meanwhile_is_not_written_there(monkeypatch):
     old, new = Cache(lambda want: None), Cache(lambda want: None)
-    dialled = dials_wait(monkeypatch)
     send = sender(old.address)
     attempt = taken(send, stays(send))
+    dialled = dials_wait(monkeypatch)
     send.hop(attempt)
     host, port = new.address.split(":")
     send.listed("c0", (host, int(port)), "up")
