An unforeseen error costs the request or the connection it happened in, not the process

Change: errors in events and timers, in reading clients, in connections to servers, writes and answers are contained, logged with place and trace, counted, and what they were about gets its final answer at once; threads that the program needs run again; what must hold is still fatal in debug builds.

--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -16,6 +16,7 @@
 from fieldspur.net.admit import Admit
 from fieldspur.net.board import Board
 from fieldspur.net.book import Book
+from fieldspur.net.holds import contained, keep_running
 from fieldspur.net.now import EPOCH
 from fieldspur.net.relay import Relay
 from fieldspur.net.route import Route
@@ -89,12 +90,12 @@
         for name, run in (("board", self.board.run), ("route", self.route.run),
                           ("takein", self.takein.run), ("watch", self.takein.watch), ("counts", self.tell)):
             threading.stack_size(DEEP_STACK if name == "board" else STACK)
-            threading.Thread(target=run, name=name, daemon=True).start()
+            threading.Thread(target=keep_running, args=(name, run), name=name, daemon=True).start()
         if self.talk is not None:
             threading.stack_size(DEEP_STACK)
             self.talk.start()
             threading.stack_size(STACK)
-        threading.Thread(target=self.open, args=(wait,), name="open", daemon=True).start()
+        threading.Thread(target=keep_running, args=("open", lambda: self.open(wait)), name="open", daemon=True).start()
 
     def open(self, wait: float) -> None:
         """Once the board has told what it holds, or has said nothing for `wait` seconds, the gate opens. A thread of its own, for a
@@ -144,6 +145,7 @@
         counts |= self.send.refused.seen("refused") | self.takein.admit.refused.seen("refused")
         # Over the enum, not the dict: the Router's thread adds to that meanwhile.
         counts |= {f"gave_up_{why.value}": gave_up[why] for why in GiveUp if why in gave_up}
+        counts |= contained.seen()
         return counts | self.send.connection_ends.seen("connections") | self.takein.closed_for.seen("closed")
 
     def reload(self) -> None:
@@ -230,7 +232,10 @@
     service.start()
     # Without a time limit: one that passes while the process is stopped makes up a signal that nobody sent.
     while signal.sigwait(SIGNALS) == signal.SIGHUP:
-        service.reload()
+        try:
+            service.reload()
+        except Exception:
+            contained.note("reload")
     log.info("ending", extra={"kv": {"open": len(service.book.open)}})
     service.end()
     service.counts("ended")
--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -738,11 +738,11 @@
         if ident in self.txns and not self.txns[ident].ended:
             self.finish(self.txns[ident])
 
-    def time_is_up(self, ident: int) -> None:
-        """The program ends, and what is still open gets its answer now."""
+    def time_is_up(self, ident: int, why: GiveUp = GiveUp.PROGRAM_ENDS) -> None:
+        """The program ends, or has failed over this txn: it gets its answer now."""
         txn = self.txns.get(ident)
         if txn is not None and not txn.ended:
-            self.give_up(txn, GiveUp.PROGRAM_ENDS)
+            self.give_up(txn, why)
 
     def purged(self, obj: str | None, group: int, age: int) -> None:
         self.purges.note(self.host.now(), obj, group, age)
--- a/fieldspur/net/lane.py
+++ b/fieldspur/net/lane.py
@@ -12,6 +12,7 @@
 from enum import Enum
 
 from fieldspur.net import resp
+from fieldspur.net.holds import contained
 from fieldspur.net.now import AWAY, EPOCH, looks_at, write_now
 from fieldspur.net.wheel import NEVER
 from fieldspur.permissions import may_dial_again, speaks_against_server
@@ -187,6 +188,10 @@
             except (OSError, RuntimeError, ValueError):  # broken, closed, or the system gives no further thread
                 self.shut()
                 return
+            except Exception:  # it costs this connection, whose own thread ends what is open on it
+                contained.note("write", server=self.server)
+                self.shut()
+                return
             finally:
                 self.writing.release()
 
@@ -328,11 +333,18 @@
                         break
                     self.left, self.cut, _ = self.write()
         except (OSError, ValueError):
-            if self.cut is not None:
-                self.cut.written = 0  # not whole: it never ran
-            self.shut()
+            self.broken_off()
+        except Exception:
+            contained.note("write", server=self.server)
+            self.broken_off()
         self.pump()  # what came between the look and the end of `draining`
 
+    def broken_off(self) -> None:
+        """What was cut off in its middle is not whole at the server: it never ran."""
+        if self.cut is not None:
+            self.cut.written = 0
+        self.shut()
+
     def finish(self, left: list, go_by: int) -> None:
         """The rest of what has begun. Guards against a repeat of which a server takes the end only once it may have forgotten the
         first try: it is broken off, and is never whole there."""
@@ -353,6 +365,14 @@
         return self.retired
 
     def run(self) -> None:
+        """The connection's thread. An unforeseen error costs this connection: all that is open on it has its end, by the rules."""
+        try:
+            self.connect_and_read()
+        except Exception:
+            contained.note("connection", server=self.server)
+            self.end()
+
+    def connect_and_read(self) -> None:
         site = self.send.site
         try:
             self.dial()
@@ -460,12 +480,11 @@
             self.open.clear()
         self.shut()
         self.send.lane_ended(self)
-        self.writing.acquire()  # a write under way uses the descriptor; none waits in there
-        if self.sock is not None:
-            self.sock.close()
-        self.saying.extend(self.words)
-        self.words.clear()
-        self.writing.release()
+        with self.writing:  # a write under way uses the descriptor; none waits in there
+            if self.sock is not None:
+                self.sock.close()
+            self.saying.extend(self.words)
+            self.words.clear()
         self.told()  # by its end
         log.info("connection", extra={"kv": {"server": self.server, "state": "ended", "why": why, "open": len(hops),
                                              "written": sum(hop.written > 0 for hop in hops), "address": "%s:%d" % self.address,
--- a/fieldspur/net/relay.py
+++ b/fieldspur/net/relay.py
@@ -9,6 +9,7 @@
 from collections import deque
 
 from fieldspur.net.book import Answer, Txn
+from fieldspur.net.holds import contained
 from fieldspur.net.now import AWAY, EPOCH, came, looks_at, write_now
 from fieldspur.net.wheel import NEVER
 from fieldspur.site import MS
@@ -158,6 +159,9 @@
             except OSError:
                 with self.lock:
                     self.cut()
+            except Exception:
+                contained.note("answer")
+                self.cut_off()
             self.idle_since = time.monotonic()
             self.relay.hold(-len(data))
         if last and self.freed is not None:
@@ -242,11 +246,16 @@
         return not self.held and not self.owing
 
     def answer(self, txn: Txn, answer: Answer, cork: list | None = None) -> None:
+        """Hand a request's answer to its connection. An unforeseen error in that costs the connection."""
         now = time.monotonic_ns() + EPOCH
         if now - self.ticked > TICK_LATE:
             self.careful_until = now + CAREFUL
-        if not txn.outlet.answer(txn.stream, answer, cork, now > txn.limit_at or now < self.careful_until):
-            return
+        try:
+            if not txn.outlet.answer(txn.stream, answer, cork, now > txn.limit_at or now < self.careful_until):
+                return
+        except Exception:
+            contained.note("answer", txn=txn.ident)
+            return txn.outlet.cut_off()
         if now - txn.limit_at > OVERDUE:
             log.warning("overdue", extra={"kv": {
                 "txn": txn.ident, "word": answer.word, "late_ms": (now - txn.limit_at) // MS, "hops": txn.hops,
--- a/fieldspur/net/route.py
+++ b/fieldspur/net/route.py
@@ -14,17 +14,19 @@
 from fieldspur.net import resp
 from fieldspur.net.board import ListChange, Purge
 from fieldspur.net.book import Answer, Book, Txn
-from fieldspur.net.holds import holds
+from fieldspur.net.holds import contained, holds
 from fieldspur.net.lane import Hop
 from fieldspur.net.now import EPOCH, latest_time_of
 from fieldspur.net.relay import Relay
 from fieldspur.net.send import Send
 from fieldspur.net.wheel import NEVER, Wheel
+from fieldspur.permissions import GiveUp
 from fieldspur.site import MS, Deployment, build_router
 
 log = logging.getLogger("fieldspur.route")
 FADE, FADE_STEP = 1_000 * MS, 1 * MS  # in which most of a lag is forgotten; how often that is worked out
-ALARM, PROBE, HELD = -1, 0, -2  # in place of a txn's number
+ALARM, PROBE, HELD, OVERDUE = -1, 0, -2, -3  # in place of a txn's number
+WATCH_OVERDUE, LONGEST_WATCH = 100 * MS, 60_000 * MS  # after an unforeseen error, requests past their time are looked for
 UNKNOWN = 0, 0  # start of a server that is not listed, or has stood from the first
 BY_ROUTER = -1  # in place of a hop's number: its own answers
 MOST_QUEUED = 512  # events; beyond, new txns are rejected at once
@@ -63,6 +65,7 @@
         self.held: dict[int, Txn] = {}  # those, as they came
         self.purges = 0  # how many of those told the Router has
         self.attempts = dict.fromkeys(RESULTS, 0)  # that ended, by result
+        self.watched_until = 0  # until when requests whose time is over are looked for
 
     # Events. Other threads post them; each is handled by the one thread.
 
@@ -104,7 +107,10 @@
                         late = now - posted
                         if late > self.lag or late > self.behind or now - self.faded >= FADE_STEP:
                             self.waited(late)
-                        what(*about)
+                        try:
+                            what(*about)
+                        except Exception:
+                            self.failed(about)
                         left -= 1
                     if self.caller != me:
                         holds(False, "one caller in the Router at a time")
@@ -112,7 +118,7 @@
                     done = self.outbox
                     if done:
                         self.outbox = []
-                except Exception:  # whatever the thread it fell on would make of it: a Router that failed serves nobody
+                except Exception:  # whatever the thread it fell on would make of it: what must hold does not, or this loop failed
                     threading.excepthook(threading.ExceptHookArgs((*sys.exc_info(), threading.current_thread())))
                     raise
                 finally:
@@ -140,17 +146,62 @@
         for at, (ident, number) in due:
             self.clock = time.monotonic_ns() + EPOCH
             self.waited(self.clock - at)
-            if ident == ALARM:
-                self.wakes.pop(number, None)
-                self.router.woken(number)
-            elif ident == HELD:
-                self.turn_away(number)
-            else:
-                self.cut(ident, number)
+            try:
+                self.timer_due(ident, number)
+            except Exception:
+                self.failed((ident if ident > PROBE else number,))
         # An empty wheel is looked at once more, or the next txn would have to wake the thread of the timers.
         self.soonest = min(self.wheel.next(), now + LOOK_AGAIN if due or self.used else NEVER)
         self.used = False
 
+    def timer_due(self, ident: int, number: int) -> None:
+        if ident == ALARM:
+            self.wakes.pop(number, None)
+            self.router.woken(number)
+        elif ident == HELD:
+            self.turn_away(number)
+        elif ident == OVERDUE:
+            self.answer_overdue()
+        else:
+            self.cut(ident, number)
+
+    def failed(self, about: tuple) -> None:
+        """An unforeseen error came in an event or a timer: it costs the request that it was about, which is answered at once. Where it
+        was about none, or about more than one, each request that is open still gets its answer by its deadline."""
+        first = about[0] if about else None
+        ident = first if isinstance(first, int) else getattr(first, "ident", PROBE)
+        contained.note("event", txn=ident)
+        self.watched_until = self.clock + LONGEST_WATCH
+        self.at(self.clock + WATCH_OVERDUE, (OVERDUE, 0))
+        if ident in self.book.open:
+            self.abandon(ident)
+
+    def abandon(self, ident: int) -> None:
+        """The final answer of a request by the rules of what may have run, or, where even that fails, one without a promise."""
+        try:
+            self.router.time_is_up(ident, GiveUp.INTERNAL_ERROR)
+            self.drop_unknown_attempt(ident)
+        except Exception:
+            contained.note("event", txn=ident)
+        if ident in self.book.open:
+            self.abort(ident)
+
+    def drop_unknown_attempt(self, ident: int) -> None:
+        """The Router counts an attempt as out that was never handed over: its end is told here, for nobody else will."""
+        txn = self.router.txns.get(ident)
+        attempt = txn.hops[-1] if txn is not None and txn.hops else None
+        if attempt is not None and attempt.out and (ident, attempt.number) not in self.hops:
+            self.router.hop_ended(ident, attempt.number, "unsent", 0, True, 0, None, None)
+
+    def answer_overdue(self) -> None:
+        """For a while after an unforeseen error: requests whose time is over, and of which nothing may be left that would end them."""
+        for ident, txn in list(self.book.open.items()):
+            if self.clock > txn.limit_at + WATCH_OVERDUE:
+                self.held.pop(ident, None)
+                self.abandon(ident)
+        if self.clock < self.watched_until:
+            self.at(self.clock + WATCH_OVERDUE, (OVERDUE, 0))
+
     def run(self) -> None:
         """The thread of the timers, and of what others leave."""
         while True:
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -11,6 +11,7 @@
 from fieldspur.net import frames
 from fieldspur.net.admit import Admit
 from fieldspur.net.book import Answer, Book
+from fieldspur.net.holds import contained
 from fieldspur.net.logs import ReasonCounter
 from fieldspur.net.now import AWAY, EPOCH, came, lay_for, looks_at
 from fieldspur.net.relay import TICK, Outlet, Relay
@@ -105,6 +106,8 @@
                     for value in decoder.filled(size):
                         self.took(value, now)
                         taken = True
+                        if self.failed:
+                            break
                     held = decoder.window.end - decoder.window.start
                     if held or self.held:
                         self.hold(held)
@@ -122,6 +125,8 @@
                             self.outlet.read_off()
         except OSError:
             pass  # reset: as if it had closed
+        except Exception:
+            contained.note("client")
         self.hold(0)
         self.takein.ended(self)
         self.takein.route.handle()
@@ -146,18 +151,33 @@
         self.outlet.close_when_done()
 
     def took(self, value, now: int) -> None:
-        if isinstance(value, frames.Withdrawn):
-            ident = self.outlet.streams.pop(value.stream, None)
-            if ident is not None:
-                self.takein.withdraw(ident)
-        elif isinstance(value, frames.ReadyAsked):
-            self.outlet.write(frames.ready(value.stream, self.takein.ready))
-        elif not self.used.new(value.stream):
-            raise frames.BadFrame("stream used again")
-        elif len(self.outlet.streams) >= MOST_STREAMS:
-            self.outlet.write(encode(value.stream, Answer("rejected", self.takein.admit.come_back_ms)))
-        else:
-            self.proved |= self.takein.admit.request(value, self.outlet, now)
+        """An unforeseen error over what came costs this connection: the request that it was about is answered, nothing further is read, and
+        what else is owed still comes."""
+        try:
+            if isinstance(value, frames.Withdrawn):
+                ident = self.outlet.streams.pop(value.stream, None)
+                if ident is not None:
+                    self.takein.withdraw(ident)
+            elif isinstance(value, frames.ReadyAsked):
+                self.outlet.write(frames.ready(value.stream, self.takein.ready))
+            elif not self.used.new(value.stream):
+                raise frames.BadFrame("stream used again")
+            elif len(self.outlet.streams) >= MOST_STREAMS:
+                self.outlet.write(encode(value.stream, Answer("rejected", self.takein.admit.come_back_ms)))
+            else:
+                self.proved |= self.takein.admit.request(value, self.outlet, now)
+        except frames.BadFrame:
+            raise
+        except Exception:
+            contained.note("client")
+            self.fail_over(value.stream)
+
+    def fail_over(self, stream: int) -> None:
+        """An error came over what the client sent on that stream: a request there that is in no list of open ones is answered here."""
+        ident = self.outlet.streams.get(stream)
+        if ident is not None and ident not in self.takein.book.open:
+            self.outlet.answer(stream, Answer("aborted"))
+        self.fail("internal error")
 
     def unread(self) -> bool:
         """Guards against a process that was stopped: what came meanwhile lies unread, and the look at idle connections may have its
--- a/fieldspur/permissions.py
+++ b/fieldspur/permissions.py
@@ -61,6 +61,7 @@
     NO_SOURCE = "no_source"
     NOT_RETRIED = "not_retried"  # its attempt failed, and a further one is not worth it, or not left
     PROGRAM_ENDS = "program_ends"
+    INTERNAL_ERROR = "internal_error"  # an unforeseen error came while it was handled
 
 
 class CloseReason(str, Enum):
--- /dev/null
+++ b/tests/test_containment.py
@@ -0,0 +1,83 @@
+"""Errors that nobody foresaw, planted: each costs what it happened in, every request has its one final answer, and no process ends."""
+
+import os
+import time
+
+import pytest
+
+from fieldspur.bench.path import ROOT
+from fieldspur.net import holds
+from fieldspur.net.holds import keep_running
+from helpers import Cache, Client, until
+
+PLANT = """
+import itertools
+from fieldspur.net.{module} import {owner}
+calls, real = itertools.count(1), {owner}.{name}
+def planted({arguments}):
+    if next(calls) % {every} == 0:
+        raise KeyError("planted")
+    return real({arguments})
+{owner}.{name} = planted
+"""
+# What fails: module and class, method, its arguments, each how many calls; and where it is to be contained.
+PLANTED = {
+    "a connection is looked for": (("send", "Send", "lane_for", "self, hop", 2), "event"),
+    "an attempt's end is decided on": (("route", "Route", "hop_ended", "self, *about", 3), "event"),
+    "a request is decided on": (("route", "Route", "arrived", "self, txn", 3), "event"),
+    "an attempt is handed over": (("route", "Route", "go", "self, hop", 3), "event"),
+    "a request is read": (("admit", "Admit", "request", "self, *about", 5), "client"),
+    "answers of a server are read": (("lane", "Lane", "replies", "self, *about", 5), "connection"),
+    "an attempt is looked at before its write": (("send", "Send", "begin", "self, hop", 5), "write"),
+    "the clients' list is looked through": (("takein", "TakeIn", "look", "self, now", 2), "watch")}
+
+
+@pytest.mark.parametrize("what", PLANTED)
+def test_an_unforeseen_error_costs_what_it_happened_in_and_no_other(run, tmp_path, what):
+    about, place = PLANTED[what]
+    folder = tmp_path / "planted"
+    folder.mkdir()
+    code = PLANT.format(**dict(zip(("module", "owner", "name", "arguments", "every"), about)))
+    (folder / "sitecustomize.py").write_text(code)
+    service = run(*(Cache() for _ in range(3)), env={"PYTHONPATH": os.pathsep.join([str(folder), str(ROOT)])}, contains=True)
+    client, stream, words = service.client(), 0, []
+    for number in range(40):
+        stream += 1
+        try:
+            client.ask(stream, txn=f"{number:016x}", item=f"{number:016x}", limit="1000")
+            began = time.monotonic()
+            frame = client.get()
+        except OSError:
+            frame = None
+        if frame is None or frame[0] == 66 and not frame[1]:  # this connection is read no further; what was owed has come
+            client, stream = Client(service.address), 0
+            continue
+        assert frame[:2] == (66, stream) and time.monotonic() - began < 1.5, number
+        words.append(frame[2])
+    until(lambda: f"place={place}" in service.lines(), limit=5)
+    assert len(words) >= 30 and words.count(79) >= 8, words
+    assert service.process.poll() is None and "event=crashed" not in service.lines()
+    late = service.client()
+    late.ask(1, txn="f" * 16, item="f" * 16, limit="1000")
+    assert late.get()[:2] == (66, 1)
+    assert service.end() == 0
+
+
+def test_work_that_the_program_needs_goes_on_after_an_error_and_ends_the_program_where_it_never_does(monkeypatch):
+    monkeypatch.setattr(holds, "RUN_AGAIN_S", 0.0)
+    calls = []
+
+    def fails_twice():
+        calls.append(1)
+        if len(calls) < 3:
+            raise ValueError("for a moment")
+        return "done"
+    assert keep_running("test", fails_twice) == "done"
+    calls.clear()
+
+    def fails():
+        calls.append(1)
+        raise ValueError("for ever")
+    with pytest.raises(ValueError):
+        keep_running("test", fails)
+    assert len(calls) == holds.MOST_IN_A_ROW
