--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -1,11 +1,13 @@
 """State that several threads touch, each crossing forced: what is looked at and what is used is one and the same."""
 
+import socket
 import threading
 import time
 from collections import deque
 from types import SimpleNamespace
 
 from fieldspur.decide import MS
+from fieldspur.net.board import SILENCE, WAIT_HEARD
 from fieldspur.net.lane import LOOK_BOARD, Hop, keep_little
 from helpers import Cache, Stalled, clock, sender, until
 from test_crossings import stays, taken
@@ -91,3 +93,24 @@
     dialled.set()
     until(lambda: len(cache.wants) == 2)
     assert order == ["waits", 5, 6] and lane.ready
+
+
+def test_a_cancel_that_came_while_its_reader_waited_for_discovery_is_heeded(run):
+    """Found by the soak (seed 1013; 521 is alike): an attempt begun 181 ms after its client had left, while a watch was cut. The reader
+    had put the attempt by for itself to read on, and let it go without having read on."""
+    cache = Cache(lambda want: None)
+    service = run(cache)
+    other = service.client()
+    until(lambda: service.board.watched)
+    service.board.sock.shutdown(socket.SHUT_RDWR)
+    service.board.sock.close()
+    service.board.reset()
+    other.ask(1)
+    until(lambda: cache.wants)  # the connection to the server stands
+    time.sleep(SILENCE)  # from now on, a write waits a moment for discovery's word
+    client = service.client()
+    client.ask(2)
+    time.sleep(WAIT_HEARD / 2)
+    client.send(67, 2)
+    time.sleep(WAIT_HEARD)
+    assert "%016x" % 2 not in [want["id"] for want in cache.wants]
