A request read in pieces keeps the time of its coming; attempts that are given up are noted under their lock

Change: after a pause of a reader, each read asks the kernel how long its bytes have lain, until what it reads is new; Lane.drop takes Send's lock for what Send.told takes out under it (order: a connection's lock, then Send's). Open: of several requests in one late read, that arrived apart, the first are dated by the last one's bytes (seen with 36 routers on one core: 64 ms counted, some 300 ms true); the kernel tells no more than the last arrival.

--- a/fieldspur/net/lane.py
+++ b/fieldspur/net/lane.py
@@ -153,7 +153,8 @@
             if self.heard < hop.written and now - hop.written > self.send.site.connect_timeout:
                 self.retired = True
             if hop.want is not None:
-                self.send.untold[hop.ident] = hop
+                with self.send.lock:  # taken inside a connection's lock, never round it
+                    self.send.untold[hop.ident] = hop
                 self.words.append(hop)
             if self.retired and not self.open:
                 self.shut()  # its thread may wait for ever, a writer be held up
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -15,6 +15,7 @@
 from fieldspur.net.logs import ReasonCounter
 from fieldspur.net.now import AWAY, EPOCH, came, lay_for, looks_at
 from fieldspur.net.relay import TICK, Outlet, Relay
+from fieldspur.net.wheel import NEVER
 from fieldspur.permissions import Accepting, ClientState, CloseReason, close_reason, may_cut, may_try_again
 from fieldspur.site import MS
 
@@ -84,7 +85,8 @@
         self.failed = False
 
     def read(self) -> None:
-        decoder, after, behind, taken, before = frames.Decoder(), 0, 0, False, 0  # before: when it last came back from a read
+        decoder, after, behind, taken = frames.Decoder(), 0, 0, False
+        before, late_since = 0, NEVER  # when it last came back from a read; since when what is read now may lie there
         looks = looks_at(self.sock).poll
         try:
             while size := self.sock.recv_into(decoder.window.view if self.failed or self.outlet.shut_at else decoder.window.room()):
@@ -98,8 +100,13 @@
                 if (found := looks(0)) and found[0][1] & AWAY:
                     break  # nobody waits for what it sent; guards against attempts begun for thousands that send and go
                 now = back = time.monotonic_ns() + EPOCH
-                if now - before > LATE_READ:  # this thread had no turn, or the process was stopped: a client's time runs from its bytes' coming
-                    now -= min(lay_for(self.sock), now - before)
+                if now - before > LATE_READ:  # this thread had no turn, or the process was stopped
+                    late_since = min(late_since, before)
+                if late_since != NEVER:  # a client's time runs from its bytes' coming, also where they are read in pieces
+                    lay = min(lay_for(self.sock), now - late_since)
+                    now -= lay
+                    if lay <= LATE_READ:
+                        late_since = NEVER  # what comes from now on is new
                 before = back
                 self.takein.route.gather()
                 try:
