--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -22,8 +22,8 @@
 from fieldspur.net.route import Route
 from fieldspur.net.send import Send
 from fieldspur.net.takein import TakeIn
-from fieldspur.permissions import GiveUp, may_exit, may_try_again
 from fieldspur.operators import BadFile, Operators, read
+from fieldspur.permissions import GiveUp, may_exit, may_try_again
 from fieldspur.record import replace
 from fieldspur.site import MS, BadSite, Node, Unopened, differences, read_node
 
--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -9,8 +9,20 @@
 import math
 import random
 
-from .host import (FILLED, FILLED_BY_ORIGIN, HIT, JOINED, NEVER_RAN, ORIGIN_FAILED, PAST_FRESH,
-                   SOURCE_LACKS, SOURCE_LOST, SOURCE_REFUSED, Host, RemapRule)
+from .host import (
+    FILLED,
+    FILLED_BY_ORIGIN,
+    HIT,
+    JOINED,
+    NEVER_RAN,
+    ORIGIN_FAILED,
+    PAST_FRESH,
+    SOURCE_LACKS,
+    SOURCE_LOST,
+    SOURCE_REFUSED,
+    Host,
+    RemapRule,
+)
 from .permissions import GiveUp, last_repeat, may_promise_no_effect, repeat_refusal
 from .record import made, record
 
--- a/fieldspur/fleet/agree.py
+++ b/fieldspur/fleet/agree.py
@@ -10,7 +10,8 @@
 
 from __future__ import annotations
 
-from typing import Any, Callable, NamedTuple, Optional, Sequence
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
 
 Ballot = tuple  # (round, member): who asks in which round; greater ones bind
 Mark = tuple  # (round, member, number): the ballot and how many values its owner has said under it before
@@ -67,12 +68,12 @@
     return [one for one in registers if all(other.lives[one.member] <= one.life for other in registers)]
 
 
-def promises(views: Sequence[Optional[Register]], ballot: Ballot) -> list[Register]:
+def promises(views: Sequence[Register | None], ballot: Ballot) -> list[Register]:
     """The members whose promise of `ballot` counts together."""
     return consistent([one for one in views if one is not None and one.life and one.promised == ballot])
 
 
-def acceptances(views: Sequence[Optional[Register]], mark: Mark) -> list[Register]:
+def acceptances(views: Sequence[Register | None], mark: Mark) -> list[Register]:
     """The members whose acceptance of `mark` counts together. One that has promised a later ballot does not: it may
     have taken over the acceptance from another, after its promise, when it came back."""
     return consistent([one for one in views if one is not None and one.life and one.accepted.mark == mark
@@ -89,12 +90,12 @@
     return tuple(one.nonce for one in sorted(registers, key=lambda one: one.member))
 
 
-def fenced(me: Register, views: Sequence[Optional[Register]]) -> bool:
+def fenced(me: Register, views: Sequence[Register | None]) -> bool:
     """Another member knows a later life of this one: it is a process of old that went on, and must end."""
     return me.life > 0 and any(one is not None and one.lives[me.member] > me.life for one in views)
 
 
-def note(me: Register, views: Sequence[Optional[Register]]) -> Register:
+def note(me: Register, views: Sequence[Register | None]) -> Register:
     """What it read is said back, and later lives are remembered from then on, in the same register as its state."""
     seen, lives = list(me.seen), list(me.lives)
     for one in views:
@@ -108,7 +109,7 @@
     return me._replace(seen=tuple(seen), lives=tuple(lives))
 
 
-def come_back(me: Register, views: Sequence[Optional[Register]], may_return: bool = True) -> Register:
+def come_back(me: Register, views: Sequence[Register | None], may_return: bool = True) -> Register:
     """A blank member learns from a majority that has not forgotten, twice: which life it is in, and, once that majority
     has that life in its registers, what it may have promised. Where all are blank it waits for an operator's word."""
     members, others = len(views), [one for one in views if one is not None and one.member != me.member]
@@ -136,7 +137,7 @@
         decided=max((one.decided for one in know), key=lambda said: said.mark))
 
 
-def found(me: Register, views: Sequence[Optional[Register]]) -> Register:
+def found(me: Register, views: Sequence[Register | None]) -> Register:
     """An operator says here that there has been no fleet before. Raises ValueError, whose text says why not, unless all
     members are there and none knows anything. The word holds for these processes only."""
     others = [one for one in views if one is not None and one.member != me.member]
@@ -157,13 +158,13 @@
     return me._replace(asked=ballot, promised=ballot)
 
 
-def leads(me: Register, views: Sequence[Optional[Register]]) -> bool:
+def leads(me: Register, views: Sequence[Register | None]) -> bool:
     """A majority keeps the promise of its ballot, as far as it sees."""
     return me.life > 0 and me.promised == me.asked != NO_BALLOT and (
         me.said.mark[:2] == me.asked or len(promises(views, me.asked)) >= majority(len(views)))
 
 
-def propose(me: Register, views: Sequence[Optional[Register]], successor) -> Register:
+def propose(me: Register, views: Sequence[Register | None], successor) -> Register:
     """Its next word, where it has one: first what may have been decided before its ballot, then `successor(value)` of
     what it got decided last; None where nothing is to follow. `views` holds its own register too."""
     if not leads(me, views):
@@ -188,7 +189,7 @@
     return True
 
 
-def step(me: Register, views: Sequence[Optional[Register]], may_promise: Callable[[Ballot], bool] = always,
+def step(me: Register, views: Sequence[Register | None], may_promise: Callable[[Ballot], bool] = always,
          may_return: bool = True) -> Register:
     """What follows from what it sees, `views` by member with its own register among them; the same again adds nothing.
     `may_promise(ballot)`: no lease that it backs forbids it; `may_return`: what it backed before it forgot has ended, for
--- a/fieldspur/fleet/foreman.py
+++ b/fieldspur/fleet/foreman.py
@@ -5,9 +5,10 @@
 
 import math
 from collections import Counter
-from typing import Any, Iterable, NamedTuple
+from collections.abc import Iterable
+from typing import Any, NamedTuple
 
-from fieldspur.fleet import plan, work, words
+from fieldspur.fleet import plan, words, work
 from fieldspur.fleet.listed import Granted, Listed
 
 WELL, EJECTED, COLD = 0, 1, 2  # how a router finds a server
--- a/fieldspur/fleet/lease.py
+++ b/fieldspur/fleet/lease.py
@@ -9,7 +9,8 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, Sequence
+from collections.abc import Sequence
+from typing import NamedTuple
 
 from fieldspur.fleet.agree import NO_BALLOT, Ballot, majority
 
--- a/fieldspur/fleet/overlay.py
+++ b/fieldspur/fleet/overlay.py
@@ -6,7 +6,7 @@
 import math
 import threading
 import time
-from typing import Callable
+from collections.abc import Callable
 
 from fieldspur.decide import Fleet
 from fieldspur.fleet.foreman import COLD, EJECTED, MOST_LOADS, WELL
--- a/fieldspur/fleet/plan.py
+++ b/fieldspur/fleet/plan.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import itertools
-from typing import Iterable, NamedTuple
+from collections.abc import Iterable
+from typing import NamedTuple
 
 SEEN = 0.02  # capacities as seen differ by so much from look to look; a share at its bound is not past it for that
 EVERY_ORDER = 5  # units up to which all orders are tried
--- a/fieldspur/fleet/talk.py
+++ b/fieldspur/fleet/talk.py
@@ -12,7 +12,7 @@
 import threading
 import time
 
-from fieldspur.fleet import agree, plan, work, words
+from fieldspur.fleet import agree, plan, words, work
 from fieldspur.fleet.follower import Follower
 from fieldspur.fleet.foreman import Foreman, bare
 from fieldspur.fleet.node import Node
--- a/fieldspur/fleet/work.py
+++ b/fieldspur/fleet/work.py
@@ -10,8 +10,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
 from functools import lru_cache
-from typing import Any, Callable, Iterable, NamedTuple
+from typing import Any, NamedTuple
 
 from fieldspur.fleet import plan
 
--- a/fieldspur/lab/emulate/loop.py
+++ b/fieldspur/lab/emulate/loop.py
@@ -9,7 +9,7 @@
 import struct
 import time
 from collections import deque
-from typing import Callable
+from collections.abc import Callable
 
 READ = 262_144
 STALL_LEAST, STALLS_KEPT = 2_000_000, 1_500_000_000  # ns: turns that are noted, and for how long
--- a/fieldspur/lab/emulate/model.py
+++ b/fieldspur/lab/emulate/model.py
@@ -9,8 +9,9 @@
 import itertools
 import random
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Callable, Protocol
+from typing import Protocol
 
 MS, SECOND = 1_000_000, 1_000_000_000
 START = 1 * MS  # what a hit takes beside its transfer
--- a/fieldspur/lab/emulate/servers.py
+++ b/fieldspur/lab/emulate/servers.py
@@ -5,7 +5,7 @@
 import json
 import random
 from collections import deque
-from typing import Callable
+from collections.abc import Callable
 
 from fieldspur.bench.plain import endpoint
 from fieldspur.lab import catalog
--- a/fieldspur/lab/judge/invariants.py
+++ b/fieldspur/lab/judge/invariants.py
@@ -6,7 +6,7 @@
 
 import math
 from collections import deque
-from typing import Callable
+from collections.abc import Callable
 
 from fieldspur.lab.judge.check import MS, OWN, SECOND, SLACK, Checker, Hop, Try
 
--- a/fieldspur/lab/judge/orders.py
+++ b/fieldspur/lab/judge/orders.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Callable
+from collections.abc import Callable
 
 from fieldspur.fleet import words, work
 from fieldspur.lab.judge.check import Checker
--- a/fieldspur/lab/plays/far.py
+++ b/fieldspur/lab/plays/far.py
@@ -13,8 +13,18 @@
 import msgspec
 
 from fieldspur.bench import plain
-from fieldspur.host import (FILLED, FILLED_BY_ORIGIN, HIT, JOINED, NO_FILL_PLACE, ORIGIN_FAILED, PAST_FRESH, SOURCE_LACKS,
-                            SOURCE_LOST, SOURCE_REFUSED)
+from fieldspur.host import (
+    FILLED,
+    FILLED_BY_ORIGIN,
+    HIT,
+    JOINED,
+    NO_FILL_PLACE,
+    ORIGIN_FAILED,
+    PAST_FRESH,
+    SOURCE_LACKS,
+    SOURCE_LOST,
+    SOURCE_REFUSED,
+)
 from fieldspur.lab import catalog
 from fieldspur.lab.emulate.faults import Faults
 from fieldspur.lab.emulate.model import Asked, Server, Store
--- a/fieldspur/lab/plays/load.py
+++ b/fieldspur/lab/plays/load.py
@@ -6,7 +6,7 @@
 
 import random
 from collections import Counter
-from typing import Callable
+from collections.abc import Callable
 
 from fieldspur.lab import catalog
 from fieldspur.lab.emulate import wire
--- a/fieldspur/lab/plays/play.py
+++ b/fieldspur/lab/plays/play.py
@@ -9,8 +9,8 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 from pathlib import Path
-from typing import Callable
 
 from fieldspur.bench import plain
 from fieldspur.bench.path import ROOT, free_port, usage
--- a/fieldspur/lab/plays/scenario.py
+++ b/fieldspur/lab/plays/scenario.py
@@ -4,7 +4,7 @@
 
 import json
 from pathlib import Path
-from typing import Literal, Optional
+from typing import Literal
 
 import msgspec
 
@@ -143,8 +143,8 @@
     load: Load
     faults: tuple[Fault, ...] = ()
     expect: Expect = Expect()
-    far: Optional[Far] = None
-    fleet: Optional[Fleet] = None
+    far: Far | None = None
+    fleet: Fleet | None = None
 
 
 def parse(data: bytes, **changed) -> Scenario:
--- a/fieldspur/lab/soak/play.py
+++ b/fieldspur/lab/soak/play.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import random
 import signal
 import tempfile
@@ -50,7 +49,7 @@
         library = shim.build(folder)
         for node in self.nodes:
             node.shim = shim.Shim(folder, library, node.number, plan.seed)
-        self.world.others |= {what: self.failing_calls for what in CALLS} | {
+        self.world.others |= dict.fromkeys(CALLS, self.failing_calls) | {
             "clock_step": self.clock_step, "late_dials": self.late_dials, "watch_stall": self.watch_stall, "watch_cut": self.watch_cut,
             "crowd": self.crowd}
         self.chance = random.Random(f"{plan.seed} signals")
--- a/fieldspur/net/lane.py
+++ b/fieldspur/net/lane.py
@@ -19,6 +19,10 @@
 from fieldspur.record import record
 from fieldspur.site import MS, US
 
+TYPE_CHECKING = False  # as typing has it, which a start does not load
+if TYPE_CHECKING:
+    from fieldspur.net.send import Send
+
 log = logging.getLogger("fieldspur.send")
 MOST_AT_ONCE, JOIN = 16, 4096  # messages in one write; longer buffers are not joined with others
 STRUCT_TIME = struct.Struct("@ll")  # what the system takes as a time: seconds, microseconds
--- a/fieldspur/net/relay.py
+++ b/fieldspur/net/relay.py
@@ -84,8 +84,8 @@
             return what
 
     def read_off(self) -> None:
-        """Called by the reader, after each time that it has worked off what it had read. Guards against a reader that has written an attempt
-        itself: what lay in the socket when that was put by has come since its read, and it has not read on."""
+        """Called by the reader, after each time that it has worked off what it had read. Guards against a reader that has written an
+        attempt itself: what lay in the socket when that was put by has come since its read, and it has not read on."""
         with self.lock:
             read = NEVER if self.ended else self.worked_off
             hops = [hop for hop in self.hops if hop.behind <= read]
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,4 +1,4 @@
-"""KNOWN-RED.txt: tests that fail for a known fault. Each is expected to fail, strictly: one that passes is an error until it is taken off."""
+"""KNOWN-RED.txt: tests that fail for a known fault. Each has to fail, strictly: one that passes is an error until it is taken off."""
 
 from __future__ import annotations
 
--- a/tests/routers.py
+++ b/tests/routers.py
@@ -6,9 +6,10 @@
 import socket
 import time
 
+from helpers import Cache, Link, Notices, Service, SettableClock, settings, until
+
 from fieldspur.bench.path import free_port
 from fieldspur.fleet import words, work
-from helpers import Cache, Link, Notices, Service, SettableClock, settings, until
 
 HOST = "127.%d.%d.2" % (1 + os.getpid() // 250 % 250, 1 + os.getpid() % 250)  # else a link may connect to itself
 
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -4,14 +4,15 @@
 import logging
 
 import pytest
-from hypothesis import given, settings as tries
+from helpers import settings
+from hypothesis import given
+from hypothesis import settings as tries
 from hypothesis import strategies as st
 
 from fieldspur.net import frames, resp
 from fieldspur.net.logs import MOST_A_SECOND, Flood, KeyValue, word
 from fieldspur.net.takein import Used
 from fieldspur.site import BadSite, deployment, read_node
-from helpers import settings
 
 HEXES = st.text("0123456789abcdef", min_size=16, max_size=16)
 FIELDS = {"verb": "media", "txn": "9b1f03aa5c7e2d41", "limit": "1500", "item": "7f3a9c21e0b4d655", "slice": "3",
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -4,11 +4,11 @@
 import time
 
 import pytest
+from helpers import Cache, Client, until
 
 from fieldspur.bench.path import ROOT
 from fieldspur.net import holds
 from fieldspur.net.holds import keep_running
-from helpers import Cache, Client, until
 
 PLANT = """
 import itertools
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,7 +11,9 @@
 from types import SimpleNamespace
 
 import pytest
+from helpers import Cache, Client, Notices, Referee, SettableClock, Stalled, at_its_peer, clock, pause, readers_held, sender, until
 
+from fieldspur.decide import MS, SECOND
 from fieldspur.net import resp
 from fieldspur.net.book import Answer, Book, Txn
 from fieldspur.net.lane import Hop, Lane
@@ -19,8 +21,6 @@
 from fieldspur.net.relay import LEFT, UNREAD, Outlet, Relay
 from fieldspur.net.send import LOOK_CLIENT
 from fieldspur.net.takein import TakeIn, encode
-from fieldspur.decide import MS, SECOND
-from helpers import Cache, Client, Notices, Referee, SettableClock, Stalled, at_its_peer, clock, pause, readers_held, sender, until
 
 ACK = ("ACK", "entity=e,issued=1,tell=TCP_HIT", b"bytes")
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -9,22 +9,22 @@
 import time
 from types import SimpleNamespace
 
+import known_red
 import pytest
+from helpers import Cache, Notices, SettableClock, clock, pause, sender, until
+from test_crossings import entered, joins, stays, taken
+from test_first_bytes import route_to, row
 
-import known_red
 from fieldspur.decide import MS, SECOND
-from fieldspur.net.board import Board, ListChange
 from fieldspur.lab.soak import shim
 from fieldspur.net import board as board_module
 from fieldspur.net import lane as lane_module
+from fieldspur.net.board import Board, ListChange
 from fieldspur.net.book import Answer, Book
 from fieldspur.net.now import looks_at
 from fieldspur.net.relay import Relay
 from fieldspur.net.takein import Client as ClientSide
 from fieldspur.record import replace
-from helpers import Cache, Notices, SettableClock, clock, pause, sender, until
-from test_crossings import entered, joins, stays, taken
-from test_first_bytes import route_to, row
 
 
 class Failing:
--- a/tests/test_first_bytes.py
+++ b/tests/test_first_bytes.py
@@ -7,16 +7,16 @@
 import time
 
 import pytest
+from helpers import Cache, Listener, Notices, Stalled, clock, endpoint, readers_held, sender, until
+from test_path import go, want
 
 from fieldspur.gate import Gate
-from fieldspur.net.board import Board, ListChange, Listed
 from fieldspur.net import resp
-from fieldspur.net.route import MOST_QUEUED, Route
+from fieldspur.net.board import Board, ListChange, Listed
 from fieldspur.net.lane import Hop
 from fieldspur.net.now import looks_at
+from fieldspur.net.route import MOST_QUEUED, Route
 from fieldspur.site import MS
-from helpers import Cache, Listener, Notices, Stalled, clock, endpoint, readers_held, sender, until
-from test_path import go, want
 
 
 def hop(number, source=None, name=None, group=7, purges=0, body=b""):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fieldspur.fleet import agree
-from fieldspur.fleet.agree import NO_MARK, Register, Said, blank
+from fieldspur.fleet.agree import NO_MARK, blank
 
 
 def founded(members=3):
--- a/tests/test_fleet_desk.py
+++ b/tests/test_fleet_desk.py
@@ -5,11 +5,11 @@
 
 import pytest
 from click.testing import CliRunner
+from helpers import until
 
 from fieldspur.cli import main
 from fieldspur.fleet import desk
 from fieldspur.operators import BadFile
-from helpers import until
 
 
 def call(*words, code=0):
--- a/tests/test_fleet_lease.py
+++ b/tests/test_fleet_lease.py
@@ -3,11 +3,11 @@
 import random
 
 import pytest
+from test_fleet import founded
 
 from fieldspur.fleet import agree
 from fieldspur.fleet.agree import NO_BALLOT, blank
 from fieldspur.fleet.lease import MOST_TICKS, Backs, Lease
-from test_fleet import founded
 
 MS = 1_000_000
 LENGTH = 1000 * MS
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -3,10 +3,10 @@
 import random
 
 import pytest
+from yard import LENGTH, MS, World
 
 from fieldspur.fleet import words
 from fieldspur.fleet.members import SUSPECT, Heard, Members
-from yard import LENGTH, MS, World
 
 
 def test_phi_grows_with_silence_and_a_steady_member_is_suspected_sooner_than_a_fitful_one():
--- a/tests/test_fleet_plan.py
+++ b/tests/test_fleet_plan.py
@@ -122,7 +122,7 @@
             best[0] = min(best[0], max((end for _, _, end in placed), default=0.0))
             return
         unit = units[at]
-        for start in range(0, most):
+        for start in range(most):
             if start + unit.takes >= best[0]:
                 return
             rows = [*placed, (unit.machines, start, start + unit.takes)]
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -4,11 +4,11 @@
 import time
 
 import pytest
-
-from fieldspur.bench.path import free_port
 from helpers import Cache, until
 from routers import HOST
 
+from fieldspur.bench.path import free_port
+
 
 def test_nothing_begins_by_itself_and_a_killed_member_is_followed_and_comes_back_without_memory(routers):
     fleet = routers(3)
--- a/tests/test_fleet_search.py
+++ b/tests/test_fleet_search.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from fieldspur.fleet import agree, plan, work, words
+from fieldspur.fleet import agree, plan, words, work
 from fieldspur.fleet.foreman import Foreman
 from fieldspur.fleet.listed import Granted, Listed
 
--- a/tests/test_fleet_store.py
+++ b/tests/test_fleet_store.py
@@ -9,10 +9,10 @@
 import time
 
 import pytest
+from test_fleet import founded
 
 from fieldspur.fleet import agree, words
 from fieldspur.fleet.store import FILE, NotKept, Store
-from test_fleet import founded
 
 
 def register(round_=3, value=("out", "c1")):
--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -3,12 +3,12 @@
 import random
 
 import pytest
+from yard import LENGTH, LONGEST, MS, SECOND, Yard
 
 from fieldspur.fleet import foreman, plan, work
 from fieldspur.fleet.listed import Granted, Listed
 from fieldspur.fleet.wishes import wishes_of
 from fieldspur.operators import BadFile, parse
-from yard import LENGTH, LONGEST, MS, SECOND, Yard
 
 
 def begun(*about, **more):
--- a/tests/test_fleet_work_processes.py
+++ b/tests/test_fleet_work_processes.py
@@ -6,8 +6,8 @@
 import time
 
 import pytest
-
 from helpers import Client, endpoint, until
+
 from fieldspur.fleet import work
 
 GRACE = 0.25 + 0.15  # of a drain, and of what passes through this process
@@ -18,7 +18,7 @@
 
     def __init__(self, fleet):
         self.fleet, self.going, self.came = fleet, True, []
-        self.answers = {n: 0 for n in range(fleet.many)}
+        self.answers = dict.fromkeys(range(fleet.many), 0)
         self.codes = []
         for at, cache in enumerate(fleet.caches):
             cache.says = lambda want, at=at: self.says(at, want)
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from fieldspur.fleet import agree, work, words
+from fieldspur.fleet import agree, words, work
 from fieldspur.lab.emulate.loop import Loop
 from fieldspur.lab.emulate.relay import Relay
 from fieldspur.lab.judge import report
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -6,7 +6,6 @@
 import time
 
 import pytest
-
 from helpers import Cache, Client, Notices, Service, endpoint, settings, until
 
 HIT = ("ACK", "entity=e,issued=1,tell=TCP_HIT", b"bytes")
--- a/tests/test_mass_crash.py
+++ b/tests/test_mass_crash.py
@@ -5,15 +5,16 @@
 import threading
 import time
 
+from helpers import Cache, Service, clock, endpoint, sender, until
+from test_crossings import stays, taken
+from test_first_bytes import route_to, row
+
 from fieldspur.decide import MS, SECOND
 from fieldspur.net.board import ListChange
 from fieldspur.net.logs import ReasonCounter, error_fields
 from fieldspur.net.wheel import NEVER
 from fieldspur.permissions import CloseReason
 from fieldspur.record import replace
-from helpers import Cache, Service, clock, endpoint, sender, until
-from test_crossings import stays, taken
-from test_first_bytes import route_to, row
 
 
 class LetsIn:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,7 +1,6 @@
 """The ordinary path: hand-offs, half writes, one caller in the Router, and the guard that keeps it cheap."""
 
 import dataclasses
-import os
 import random
 import socket
 import subprocess
@@ -13,12 +12,15 @@
 from types import SimpleNamespace
 
 import pytest
-from hypothesis import given, settings as tries
+from helpers import Cache, Listener, clock, sender, settings, until
+from hypothesis import given
+from hypothesis import settings as tries
 from hypothesis import strategies as st
 
 from fieldspur.bench import count, start
 from fieldspur.host import RESULTS
-from fieldspur.net import frames, holds as holding, now, resp
+from fieldspur.net import frames, now, resp
+from fieldspur.net import holds as holding
 from fieldspur.net.board import ListChange, Listed
 from fieldspur.net.book import Answer, Book, Txn
 from fieldspur.net.lane import Hop
@@ -30,7 +32,6 @@
 from fieldspur.net.window import Window
 from fieldspur.record import made, record, replace
 from fieldspur.site import MS, deployment
-from helpers import Cache, Listener, clock, sender, settings, until
 
 ROOT = Path(__file__).parents[1]
 
@@ -125,7 +126,7 @@
         monkeypatch.setattr(now, "raw", raw)
         here, there = socket.socketpair()
         here.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
-        sent, data = 0, b"x" * 1_000_000
+        data = b"x" * 1_000_000
         left = now.write_now(here, (data,))
         assert 0 < sum(map(len, left)) < len(data)
         assert now.write_now(here, left) == left or sum(map(len, left))  # full: nothing goes, nothing waits
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,12 +3,12 @@
 import random
 
 import pytest
+from helpers import COLD, MULTIPLE, RAMP, SPAN, Referee, rule
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from fieldspur.decide import MS, SECOND, Fleet
 from fieldspur.host import RESULTS
-from helpers import COLD, MULTIPLE, RAMP, SPAN, Referee, rule
 
 RULES = [rule(), rule(fresh=2 * SECOND), rule("keyed", "all", True), rule("keyed", "zone"),
          rule("keyed", "cell"), rule("unrepeatable", never_kept=True), rule("unrepeatable")]
@@ -104,7 +104,7 @@
     for now in range(clock, clock + RAMP, 20 * MS):
         span, at = divmod(now - clock, SPAN)
         if span % 2 and at in [int(share * SPAN) for share in again]:
-            for n in range(0, routers * 7 // 10):
+            for n in range(routers * 7 // 10):
                 fleets[n] = begin(now + n, now)
         for fleet in fleets:
             cold = fleet.servers["cold"]
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -6,28 +6,28 @@
 import socket
 import subprocess
 import sys
-
 import time
 from types import SimpleNamespace
 
 import pytest
+from helpers import Cache, Client, Events, Listener, Notices, clock, endpoint, sender, settings, until
 
 from fieldspur.__main__ import Service as Whole
 from fieldspur.host import RESULTS
-from fieldspur.net import holds as holding, resp
+from fieldspur.net import holds as holding
+from fieldspur.net import resp
 from fieldspur.net.admit import Admit
 from fieldspur.net.board import Board, Gap, ListChange, Listed
 from fieldspur.net.book import Answer, Book, Txn
 from fieldspur.net.frames import Request
-
 from fieldspur.net.lane import Hop
 from fieldspur.net.relay import Outlet, Relay
 from fieldspur.net.route import Route
 from fieldspur.net.send import Send
-from fieldspur.net.takein import Client as ClientSide, TakeIn, encode
+from fieldspur.net.takein import Client as ClientSide
+from fieldspur.net.takein import TakeIn, encode
 from fieldspur.record import replace
 from fieldspur.site import MS, deployment, read_node
-from helpers import Cache, Client, Events, Listener, Notices, clock, endpoint, sender, settings, until
 
 ACK = ("ACK", "entity=e,issued=1,tell=TCP_HIT", b"bytes")
 
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -7,14 +7,15 @@
 from collections import deque
 from types import SimpleNamespace
 
+from helpers import Cache, Stalled, clock, pause, sender, until
+from test_crossings import stays, taken
+from test_mass_crash import dials_wait
+
 from fieldspur.decide import MS
 from fieldspur.lab.soak import shim
 from fieldspur.net.board import SILENCE, WAIT_HEARD
 from fieldspur.net.lane import LOOK_BOARD, Hop, keep_little
 from fieldspur.record import replace
-from helpers import Cache, Stalled, clock, pause, sender, until
-from test_crossings import stays, taken
-from test_mass_crash import dials_wait
 
 
 class Emptied(deque):
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -4,10 +4,10 @@
 import random
 
 import pytest
+from helpers import Referee, rule
 
 from fieldspur.decide import MS, SECOND
 from fieldspur.host import FILLED, HIT
-from helpers import Referee, rule
 
 
 def played(load, seed, hang=False, misses=0.3, seconds=12, rating=10.0):
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -8,10 +8,10 @@
 import time
 
 import pytest
+from helpers import Cache, Client, Notices, endpoint, until
 
 from fieldspur.bench.path import free_port
 from fieldspur.net.board import SILENCE
-from helpers import Cache, Client, Notices, endpoint, until
 
 HIT = ("ACK", "entity=e,issued=1,tell=TCP_HIT", b"bytes")
 
