--- a/fieldspur/net/route.py
+++ b/fieldspur/net/route.py
@@ -294,15 +294,37 @@
         final = result == "completed" or hop.ident not in self.book.open
         if log.isEnabledFor(logging.DEBUG):
             self.tell(hop, result, took, reply)
-        self.router.hop_ended(hop.ident, hop.number, result, took, final, reply.note if reply else 0,
-                              min(reply.waited, took) if reply and reply.waited is not None else None, load)
+        self.router.hop_ended(
+            hop.ident,
+            hop.number,
+            result,
+            took,
+            final,
+            reply.note if reply else 0,
+            min(reply.waited, took) if reply and reply.waited is not None else None,
+            load,
+        )
 
     def tell(self, hop: Hop, result: str, took: int, reply: resp.Reply | None) -> None:
-        log.debug("hop", extra={"kv": {
-            "txn": hop.name, "hop": hop.number, "rule": hop.want.rule, "obj": hop.want.obj, "part": hop.want.part,
-            "server": hop.server, "source": hop.source or "-", "fetch": hop.want.fetch, "result": result,
-            "note": reply.note if reply else 0, "took": took // MS,
-            "wrote": (hop.written - hop.asked) // MS if hop.written else -1}})
+        log.debug(
+            "hop",
+            extra={
+                "kv": {
+                    "txn": hop.name,
+                    "hop": hop.number,
+                    "rule": hop.want.rule,
+                    "obj": hop.want.obj,
+                    "part": hop.want.part,
+                    "server": hop.server,
+                    "source": hop.source or "-",
+                    "fetch": hop.want.fetch,
+                    "result": result,
+                    "note": reply.note if reply else 0,
+                    "took": took // MS,
+                    "wrote": (hop.written - hop.asked) // MS if hop.written else -1,
+                }
+            },
+        )
 
     def cut(self, ident: int, number: int) -> None:
         """A timer, not a call of the Router's: its end is told at once, before what else waits here."""
@@ -341,8 +363,9 @@
         fleet, site = self.router.fleet, self.site
         fleet.list_begins(complete)
         for s in rows:
-            fleet.server_listed(s.name, s.state, self.started(s, live), site.zones.index(s.zone), s.rating,
-                                site.kinds.index(s.kind), s.cell)
+            fleet.server_listed(
+                s.name, s.state, self.started(s, live), site.zones.index(s.zone), s.rating, site.kinds.index(s.kind), s.cell
+            )
         fleet.list_ends()
 
     def started(self, s, live: bool) -> int:
@@ -379,12 +402,37 @@
             hop = Hop(ident, self.router.txns[ident].hops[-1].number, "", server, source, None, self.clock)
             return self.post(self.unsent, hop)
         source = None if source == server else source
-        want = resp.Want(txn.name, txn.rule, txn.obj, txn.part, 0, txn.key,
-                         source, rank, max(1, max_age // MS) if max_age else 0, join, renew and source is not None,
-                         fetch, txn.tag, txn.body)
-        hop = Hop(ident, txn.hops, txn.name, server, source, want, self.clock, cut_at, txn.group,
-                  NEVER if self.site.rules[txn.rule_at].never_kept else self.purges, go_by,
-                  self.starts.get(server, UNKNOWN)[0], self.starts.get(source, UNKNOWN)[0])
+        want = resp.Want(
+            txn.name,
+            txn.rule,
+            txn.obj,
+            txn.part,
+            0,
+            txn.key,
+            source,
+            rank,
+            max(1, max_age // MS) if max_age else 0,
+            join,
+            renew and source is not None,
+            fetch,
+            txn.tag,
+            txn.body,
+        )
+        hop = Hop(
+            ident,
+            txn.hops,
+            txn.name,
+            server,
+            source,
+            want,
+            self.clock,
+            cut_at,
+            txn.group,
+            NEVER if self.site.rules[txn.rule_at].never_kept else self.purges,
+            go_by,
+            self.starts.get(server, UNKNOWN)[0],
+            self.starts.get(source, UNKNOWN)[0],
+        )
         txn.hops += 1
         self.go(hop)
 
@@ -421,8 +469,12 @@
         txn = self.book.settle(ident, answer)
         if txn is not None:
             if log.isEnabledFor(logging.DEBUG):
-                log.debug("answered", extra={"kv": {"txn": txn.name, "word": answer.word, "attempts": txn.hops,
-                                                    "left_ms": (txn.limit_at - self.clock) // MS}})
+                log.debug(
+                    "answered",
+                    extra={
+                        "kv": {"txn": txn.name, "word": answer.word, "attempts": txn.hops, "left_ms": (txn.limit_at - self.clock) // MS}
+                    },
+                )
             self.outbox.append((None, txn, answer))
         else:
             self.relay.owing.discard((ident, BY_ROUTER))
@@ -436,8 +488,19 @@
 
     def probe(self, server) -> None:
         number = next(self.order)
-        self.go(Hop(PROBE, number, f"busy-{number}", server, None, None, self.clock,
-                    self.clock + self.site.connect_timeout, started=self.starts.get(server, UNKNOWN)[0]))
+        self.go(
+            Hop(
+                PROBE,
+                number,
+                f"busy-{number}",
+                server,
+                None,
+                None,
+                self.clock,
+                self.clock + self.site.connect_timeout,
+                started=self.starts.get(server, UNKNOWN)[0],
+            )
+        )
 
     def log(self, text) -> None:
         log.info("decided", extra={"kv": {"text": text}})
--- a/fieldspur/net/send.py
+++ b/fieldspur/net/send.py
@@ -77,8 +77,7 @@
             free = [lane for lane in lanes if lane.takes(hop)]
             best = min(free, key=lambda lane: len(lane.open)) if free else None
             breaking = time.monotonic_ns() + EPOCH - self.broke < self.site.idle_close
-            if best is not None and (not best.open or len(lanes) >= (LANES if breaking else 1)
-                                     or self.many() >= self.most_lanes // 2):
+            if best is not None and (not best.open or len(lanes) >= (LANES if breaking else 1) or self.many() >= self.most_lanes // 2):
                 return best  # beyond half of the descriptors further ones are for servers that have none
             if self.many() >= self.most_lanes:
                 log.warning("lanes_full", extra={"kv": {"server": hop.server, "lanes": self.most_lanes}})
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -201,13 +201,19 @@
     def overdue(self, now: float) -> CloseReason | None:
         """Why it is to be closed now, if it is."""
         outlet = self.outlet
-        return close_reason(ClientState(outlet.shut_at, bool(outlet.streams), outlet.writing, self.failed, self.held, self.since,
-                                        outlet.idle_since, self.proved), now, self.takein.gone_after_ms / 1e3)
+        return close_reason(
+            ClientState(
+                outlet.shut_at, bool(outlet.streams), outlet.writing, self.failed, self.held, self.since, outlet.idle_since, self.proved
+            ),
+            now,
+            self.takein.gone_after_ms / 1e3,
+        )
 
 
 class TakeIn:
-    def __init__(self, listen: tuple[str, int], most_clients: int, most_bytes: int, gone_after: int, admit: Admit,
-                 book: Book, route, relay: Relay):
+    def __init__(
+        self, listen: tuple[str, int], most_clients: int, most_bytes: int, gone_after: int, admit: Admit, book: Book, route, relay: Relay
+    ):
         self.admit, self.book, self.route, self.relay = admit, book, route, relay
         self.most_clients, self.gone_after_ms = most_clients, gone_after // MS
         self.most_bytes, self.bytes = most_bytes, 0  # of unfinished frames
@@ -295,8 +301,9 @@
         of use, if there are any, and of these the one idle for longest. Where even the spare ones are taken, the one that was shut
         first is cut off and its descriptor waited for, a moment at most; so it is where the system has `none` left, whoever took them."""
         with self.lock:
-            for client in sorted((c for c in self.clients if not c.outlet.streams and not c.outlet.shut_at),
-                                 key=lambda c: (c.proved, c.outlet.idle_since)):
+            for client in sorted(
+                (c for c in self.clients if not c.outlet.streams and not c.outlet.shut_at), key=lambda c: (c.proved, c.outlet.idle_since)
+            ):
                 if not client.unread() and client.outlet.shut_if_idle():
                     self.closing_for(client, CloseReason.DESCRIPTORS)
                     break
@@ -306,7 +313,7 @@
                 return bool(shut)
             if none:
                 shut = [client for client in shut if may_cut(client.outlet.shut_at, time.monotonic())]
-            for client in shut[:1 + len(shut) // 2]:
+            for client in shut[: 1 + len(shut) // 2]:
                 client.outlet.cut_off()
             return self.room.wait_for(lambda: len(self.clients) < most, ROOM_WAIT)
 
--- a/fieldspur/net/window.py
+++ b/fieldspur/net/window.py
@@ -27,24 +27,24 @@
             self.start = self.end = 0
             if len(self.buf) > self.first and not self.eager:
                 self.resize(self.first)  # guards against clients that each made a large buffer once
-            return self.view[:len(self.buf) >> 1]
+            return self.view[: len(self.buf) >> 1]
         if self.whole > held:
             stop = self.start + self.whole
             if stop > len(self.buf):
                 self.resize(2 * self.whole if self.eager else min(self.whole, 2 * max(held, self.first)))
                 stop = min(self.whole, len(self.buf))
-            return self.view[self.end:max(stop, len(self.buf) >> 1)]
+            return self.view[self.end : max(stop, len(self.buf) >> 1)]
         if self.end >= len(self.buf) >> 1:  # the start of a message whose length is not known yet
             self.resize(len(self.buf) if held < len(self.buf) >> 2 else 2 * len(self.buf))
-        return self.view[self.end:max(self.end + 1, len(self.buf) >> 1)]
+        return self.view[self.end : max(self.end + 1, len(self.buf) >> 1)]
 
     def resize(self, size: int) -> None:
         held = self.end - self.start
         if size == len(self.buf):
-            self.buf[:held] = self.buf[self.start:self.end]
+            self.buf[:held] = self.buf[self.start : self.end]
         else:
             buf = bytearray(size)
-            buf[:held] = self.view[self.start:self.end]
+            buf[:held] = self.view[self.start : self.end]
             self.buf, self.view = buf, memoryview(buf)
         self.start, self.end = 0, held
 
--- a/fieldspur/operators.py
+++ b/fieldspur/operators.py
@@ -27,8 +27,9 @@
 
 @record(frozen=True)
 class Log:
-    level: Literal["debug", "info", "warning", "error"] = Field("info", about={
-        "description": "lowest level of lines that are written; debug has one line a hop"})
+    level: Literal["debug", "info", "warning", "error"] = Field(
+        "info", about={"description": "lowest level of lines that are written; debug has one line a hop"}
+    )
     lines_a_second: int = key(20, 1, 10_000, "lines of one event in a second; what is left out is counted")
 
 
@@ -54,8 +55,12 @@
 
 @record(frozen=True)
 class Start:
-    board_wait_s: float = key(1.5, 0.0, 60.0, "seconds that a start waits for the notice board before it goes by its file's "
-                                              "list; the board says its last number each second")
+    board_wait_s: float = key(
+        1.5,
+        0.0,
+        60.0,
+        "seconds that a start waits for the notice board before it goes by its file's list; the board says its last number each second",
+    )
     most_waiting: int = key(512, 0, 100_000, "txns that wait meanwhile; further ones are rejected at once")
 
 
@@ -65,8 +70,12 @@
 
     zone: float = key(0.34, 0.0, 1.0, "share of a location's caches that may be out")
     all: float = key(0.25, 0.0, 1.0, "share of all caches that may be out, where more than one is")
-    both: float = key(0.0, 0.0, 1.0, "share of a location's objects whose home and next cache may be out together; 0: never, "
-                                     "so one cache a location at a time")
+    both: float = key(
+        0.0,
+        0.0,
+        1.0,
+        "share of a location's objects whose home and next cache may be out together; 0: never, so one cache a location at a time",
+    )
     headroom: float = key(0.8, 0.05, 1.0, "the load may take so much of what stays")
     fills_s: float = key(0.0, 0.0, 1e6, "fills a second that the store bears on top; 0: no bound")
     parents: int = key(1, 0, 64, "parents out together; caches and parents never are")
@@ -78,30 +87,48 @@
     """Which routers settle things among themselves. Without a name the router knows of no others."""
 
     name: str = Field("", about={"description": "the fleet's name; empty: no fleet"})
-    members: dict[str, str] = Field({}, about={
-        "description": "all members, this router too: name to \"ADDRESS:PORT ZONE\", where each publishes its lines"})
-    votes: list[str] = Field([], about={
-        "description": "the members that settle things, 3, 5 or 7 of many; the others go by what those settle; empty: all do"})
+    members: dict[str, str] = Field(
+        {}, about={"description": 'all members, this router too: name to "ADDRESS:PORT ZONE", where each publishes its lines'}
+    )
+    votes: list[str] = Field(
+        [], about={"description": "the members that settle things, 3, 5 or 7 of many; the others go by what those settle; empty: all do"}
+    )
     left: list[str] = Field([], about={"description": "members that do not vote and have been stopped for good: nothing waits for them"})
     folder: str = Field("", about={"description": "where this member keeps what it promised; empty: in memory only"})
     lease_s: float = key(1.5, 0.3, 60.0, "seconds that a member acts for the fleet without word of a majority")
-    first: bool = Field(False, about={
-        "description": "turned true and read by SIGHUP: there has been no fleet before, one begins; needs all members there"})
-    unsure: Literal["serve", "turn_away"] = Field("serve", about={
-        "description": "a router that can't know what is out: `serve` keeps off what was announced to it, and orders wait until all "
-                       "routers were told; `turn_away` turns all txns away at once, and orders wait for nobody"})
+    first: bool = Field(
+        False, about={"description": "turned true and read by SIGHUP: there has been no fleet before, one begins; needs all members there"}
+    )
+    unsure: Literal["serve", "turn_away"] = Field(
+        "serve",
+        about={
+            "description": "a router that can't know what is out: `serve` keeps off what was announced to it, and orders wait until all "
+            "routers were told; `turn_away` turns all txns away at once, and orders wait for nobody"
+        },
+    )
     bounds: Bounds = part(Bounds, "what may be out for work together")
-    work: list[dict] = Field([], about={
-        "description": "machines that are to be worked on", "maxItems": 64,
-        "items": {"type": "object", "additionalProperties": False, "required": ["machine"], "properties": {
-            "machine": {"type": "string", "description": "a cache's or a parent's name on the board"},
-            "needs_s": {"type": "number", "description": "seconds that the work takes"},
-            "before": {"type": "number", "description": "Unix seconds by which it is to be back; 0: it does not matter"},
-            "with": {"type": "array", "items": {"type": "string"}, "description": "machines that are to be out together with it"},
-            "id": {"type": "string", "description": "tells this order from others; made from the rest without it"},
-            "hold": {"type": "boolean", "description": "it does not go for now"},
-            "back": {"type": "boolean", "description": "the work is done"},
-            "drop": {"type": "boolean", "description": "withdrawn"}}}})
+    work: list[dict] = Field(
+        [],
+        about={
+            "description": "machines that are to be worked on",
+            "maxItems": 64,
+            "items": {
+                "type": "object",
+                "additionalProperties": False,
+                "required": ["machine"],
+                "properties": {
+                    "machine": {"type": "string", "description": "a cache's or a parent's name on the board"},
+                    "needs_s": {"type": "number", "description": "seconds that the work takes"},
+                    "before": {"type": "number", "description": "Unix seconds by which it is to be back; 0: it does not matter"},
+                    "with": {"type": "array", "items": {"type": "string"}, "description": "machines that are to be out together with it"},
+                    "id": {"type": "string", "description": "tells this order from others; made from the rest without it"},
+                    "hold": {"type": "boolean", "description": "it does not go for now"},
+                    "back": {"type": "boolean", "description": "the work is done"},
+                    "drop": {"type": "boolean", "description": "withdrawn"},
+                },
+            },
+        },
+    )
 
 
 def member(text: str) -> tuple[tuple[str, int], str]:
@@ -140,6 +167,7 @@
         if name in (value.votes or value.members):
             raise BadFile(f"{path}.left[{n}]: {name} votes")
     from fieldspur.fleet.wishes import BadOrder, wishes_of  # only where there is a fleet
+
     try:
         wishes_of(value.work, f"{path}.work")
     except BadOrder as wrong:
@@ -186,8 +214,9 @@
 
 def filled(kind, value):
     """The record with the values that the library read."""
-    return kind(**{row.name: filled(row.made_by, getattr(value, row.name)) if row.made_by else getattr(value, row.name)
-                   for row in kind.__fields__})
+    return kind(
+        **{row.name: filled(row.made_by, getattr(value, row.name)) if row.made_by else getattr(value, row.name) for row in kind.__fields__}
+    )
 
 
 def parse(data: bytes) -> Operators:
--- a/fieldspur/permissions.py
+++ b/fieldspur/permissions.py
@@ -141,8 +141,11 @@
                 return Refusal.SOURCE_RESTARTED
         if self.in_doubt is not None and (self.in_doubt(attempt.server) or source is not None and self.in_doubt(source)):
             return Refusal.PLACEMENT_IN_DOUBT
-        if self.purged and attempt.want is not None and attempt.purges < max(
-                self.purged.get(attempt.want.obj, (0, 0))[0], self.purged.get(attempt.group, (0, 0))[0]):
+        if (
+            self.purged
+            and attempt.want is not None
+            and attempt.purges < max(self.purged.get(attempt.want.obj, (0, 0))[0], self.purged.get(attempt.group, (0, 0))[0])
+        ):
             return Refusal.PURGED_SINCE
         return None
 
@@ -158,8 +161,12 @@
         return Refusal.NOT_IDEMPOTENT
     if now - ran[0].sent >= rule.remembered - REPEAT_MARGIN:
         return Refusal.REPEAT_WINDOW_OVER
-    same = all(rule.group == "all" or (rule.group == "zone" and server.zone == attempt.server.zone)
-               or (rule.group == "cell" and server.cell == attempt.server.cell) for attempt in ran)
+    same = all(
+        rule.group == "all"
+        or (rule.group == "zone" and server.zone == attempt.server.zone)
+        or (rule.group == "cell" and server.cell == attempt.server.cell)
+        for attempt in ran
+    )
     return None if same else Refusal.OTHER_REPEAT_GROUP
 
 
@@ -178,8 +185,7 @@
 # Requests.
 
 
-def take_refusal(open_requests: int, most_open: int, queued: int, most_queued: int, body_bytes: int,
-                 most_bytes: int) -> Refusal | None:
+def take_refusal(open_requests: int, most_open: int, queued: int, most_queued: int, body_bytes: int, most_bytes: int) -> Refusal | None:
     """Why a further request is refused at once. `body_bytes`: of all open ones, this one included."""
     if open_requests >= most_open:
         return Refusal.OPEN_REQUESTS
--- a/fieldspur/record.py
+++ b/fieldspur/record.py
@@ -43,6 +43,7 @@
 def record(frozen: bool = False, eq: bool = True):
     """A class decorator: slots, `__init__` by position or name in the order of the annotations, a readable `repr`; by
     `eq` records of equal values are equal; `frozen` ones are not changed once made, and have a hash."""
+
     def make(cls):
         rows = []
         for name in cls.__annotations__:
@@ -51,8 +52,7 @@
             row.name = name
             rows.append(row)
         names = [row.name for row in rows]
-        body = {name: value for name, value in cls.__dict__.items()
-                if name not in (*names, "__dict__", "__weakref__")}
+        body = {name: value for name, value in cls.__dict__.items() if name not in (*names, "__dict__", "__weakref__")}
         body |= {"__slots__": tuple(names), "__fields__": tuple(rows), "__repr__": text}
         if eq:
             body |= {"__eq__": same, "__hash__": digest if frozen else None}
@@ -79,6 +79,7 @@
         exec(f"def __init__(self, {', '.join(says)}):\n    " + "\n    ".join(sets), known)
         made.__init__ = known["__init__"]
         return made
+
     return make
 
 
--- a/fieldspur/site.py
+++ b/fieldspur/site.py
@@ -119,37 +119,64 @@
     grace = info.row("olderByUs", int, "times", len(rows))
     stale = info.row("classStaleWorth", (int, float), "shares", len(rows))
     rules = [
-        RemapRule(row.chosen("repeat", KINDS), row.chosen("dedupScope", {g: g for g in ("all", "zone", "cell")}, "all"),
-                  row.whole("memorySpanUs", 0) * US, row.number("worth"), row.number("lateWorth", 0.0),
-                  row.whole("aimUs") * US, row.number("aimStretch", 0.0), row.whole("hardLimitUs") * US,
-                  bool(never_kept[at]), fresh[at] * US, grace[at] * US, float(stale[at]))
-        for at, row in enumerate(rows)]
+        RemapRule(
+            row.chosen("repeat", KINDS),
+            row.chosen("dedupScope", {g: g for g in ("all", "zone", "cell")}, "all"),
+            row.whole("memorySpanUs", 0) * US,
+            row.number("worth"),
+            row.number("lateWorth", 0.0),
+            row.whole("aimUs") * US,
+            row.number("aimStretch", 0.0),
+            row.whole("hardLimitUs") * US,
+            bool(never_kept[at]),
+            fresh[at] * US,
+            grace[at] * US,
+            float(stale[at]),
+        )
+        for at, row in enumerate(rows)
+    ]
     zone, by_zone = conf.whole("zone"), info.row("countByZone", int, "counts")
     pipes = info.row("pipeKbPerS", (int, float), "paces")
     if zone >= min(len(by_zone), len(pipes)):
         raise BadSite(f"{conf.at('zone')}: not within familyInfo.countByZone and pipeKbPerS")
     pace = info.number("clientKbPerS")
     fleet = dict(
-        zone=zone, parent_kind=info.whole("upperKind", least=-1), origin_kind=info.whole("rootKind"),
-        sized=conf.text("weights"), cache_share=1 / max(1, by_zone[zone]),
+        zone=zone,
+        parent_kind=info.whole("upperKind", least=-1),
+        origin_kind=info.whole("rootKind"),
+        sized=conf.text("weights"),
+        cache_share=1 / max(1, by_zone[zone]),
         parent_share=1 / max(1, conf.whole("replicasOfMe")),
         cache_cold=(sure.number("coldFrom"), sure.whole("rampTimeUs") * US, sure.number("fallMultiple")),
         parent_cold=(info.number("upperColdFrom"), info.whole("parentRampUs") * US, info.number("upperFallMultiple")),
-        fall_span=sure.whole("overloadForUs", least=1) * US, link=pipes[zone] / max(1.0, pace),
-        siblings=info.text("siblings") != "none")
+        fall_span=sure.whole("overloadForUs", least=1) * US,
+        link=pipes[zone] / max(1.0, pace),
+        siblings=info.text("siblings") != "none",
+    )
     router = dict(
-        kb_per_s=pace, hop_limit=may.whole("sendCap"), joins=info.flag("mergesFills"), probes=may.flag("probes"),
+        kb_per_s=pace,
+        hop_limit=may.whole("sendCap"),
+        joins=info.flag("mergesFills"),
+        probes=may.flag("probes"),
         cancels=may.flag("cancel"),
         longest_come_back=may.whole("maxRetryAfterUs") * US if may.flag("retryAfter") else 0,
         noteless=info.chosen("says", {"all": False, "hit": False, "none": True}, "all"),
-        watch=conf.chosen("shape", {"as-told": False, "watch": True}, "as-told"))
+        watch=conf.chosen("shape", {"as-told": False, "watch": True}, "as-told"),
+    )
     return Deployment(
-        rules, [row.text("name", "") for row in rows], conf.row("areas", str, "names"),
+        rules,
+        [row.text("name", "") for row in rows],
+        conf.row("areas", str, "names"),
         conf.row("kinds", str, "names"),
         [LOADS.get(word, word) for word in conf.part("report").row("columns", str, "names")],
-        fleet, router, info.whole("goneEverywhereUs") * US, may.whole("connectTimeoutUs", 400_000) * US,
-        may.whole("idleCloseUs", 30_000_000) * US, max(1, may.whole("maxStreams", 100)),
-        max(1, may.whole("maxOpen", 20_000)))
+        fleet,
+        router,
+        info.whole("goneEverywhereUs") * US,
+        may.whole("connectTimeoutUs", 400_000) * US,
+        may.whole("idleCloseUs", 30_000_000) * US,
+        max(1, may.whole("maxStreams", 100)),
+        max(1, may.whole("maxOpen", 20_000)),
+    )
 
 
 def build_router(host: Host, seed: int, site: Deployment) -> Router:
@@ -181,8 +208,7 @@
 
 def differences(old: Node, new: Node) -> list[str]:
     """What another file says that a running router does not take over; `board` and `known` it does."""
-    return [key for key in ("name", "listen", "seed", "sockets", "memory", "site")
-            if getattr(old, key) != getattr(new, key)]
+    return [key for key in ("name", "listen", "seed", "sockets", "memory", "site") if getattr(old, key) != getattr(new, key)]
 
 
 def read_node(environ) -> Node:
@@ -205,7 +231,14 @@
     except ValueError:
         raise BadSite("seed: not a hexadecimal number") from None
     return Node(
-        name, address(listen, "LB_LISTEN") if listen else address(conf.text("listen"), "listen"),
-        address(conf.text("board"), "board"), seed, limits.whole("sockets", least=24),
-        limits.whole("memory_mb", least=16) << 20, known.whole("rev"), known.raw("notices", list, "a list"),
-        environ.get("LB_LOG") == "debug", deployment(conf.raw("settings", dict, "an object")))
+        name,
+        address(listen, "LB_LISTEN") if listen else address(conf.text("listen"), "listen"),
+        address(conf.text("board"), "board"),
+        seed,
+        limits.whole("sockets", least=24),
+        limits.whole("memory_mb", least=16) << 20,
+        known.whole("rev"),
+        known.raw("notices", list, "a list"),
+        environ.get("LB_LOG") == "debug",
+        deployment(conf.raw("settings", dict, "an object")),
+    )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -32,6 +32,7 @@
         """`contains`: errors are planted in it."""
         made.append((Service(tmp_path, caches, **conf), contains))
         return made[-1][0]
+
     yield start
     for service, contains in made:
         service.process.kill()
@@ -47,6 +48,7 @@
     def make(*about, **more):
         made.append(Routers(tmp_path, *about, **more))
         return made[-1]
+
     yield make
     for one in made:
         one.end()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -27,26 +27,48 @@
 
 
 def rule(kind="repeatable", group="all", never_kept=False, fresh=0, grace=0):
-    return RemapRule(kind, group, 3 * SECOND, 1.0, 0.2, 500 * MS, 2.0, 4 * SECOND, never_kept, fresh, grace,
-                     0.5)
+    return RemapRule(kind, group, 3 * SECOND, 1.0, 0.2, 500 * MS, 2.0, 4 * SECOND, never_kept, fresh, grace, 0.5)
 
 
 class Referee:
     """The host of one Router. Every call is checked against the rules as they are worded."""
 
-    def __init__(self, rules=None, caches=3, second_copies=True, come_back=SECOND, sized="nominal",
-                 kb_per_s=1000.0, rating=10.0, share=0.5):
+    def __init__(
+        self, rules=None, caches=3, second_copies=True, come_back=SECOND, sized="nominal", kb_per_s=1000.0, rating=10.0, share=0.5
+    ):
         self.clock, self.rules, self.second_copies = 1000 * SECOND, rules or [rule()], second_copies
         self.txns, self.alarms, self.lines, self.rating = {}, [], [], rating
         self.servers, self.purges = {}, []
-        fleet = Fleet(zone=1, parent_kind=1, origin_kind=2, sized=sized, cache_share=share, parent_share=0.25,
-                      cache_cold=(COLD, RAMP, MULTIPLE), parent_cold=(COLD, RAMP, MULTIPLE), fall_span=SPAN,
-                      link=20.0, siblings=True)
-        self.router = Router(self, 7, self.rules, fleet, Purges(GONE_EVERYWHERE), Collapsing(),
-                             kb_per_s=kb_per_s, hop_limit=8, joins=True, probes=False, cancels=True,
-                             longest_come_back=come_back)
-        self.list_servers({f"c{n}": (1, 0, n % 2) for n in range(caches)}
-                          | {f"p{n}": (0, 1, 0) for n in range(2)} | {"origin": (0, 2, 0)}, complete=True)
+        fleet = Fleet(
+            zone=1,
+            parent_kind=1,
+            origin_kind=2,
+            sized=sized,
+            cache_share=share,
+            parent_share=0.25,
+            cache_cold=(COLD, RAMP, MULTIPLE),
+            parent_cold=(COLD, RAMP, MULTIPLE),
+            fall_span=SPAN,
+            link=20.0,
+            siblings=True,
+        )
+        self.router = Router(
+            self,
+            7,
+            self.rules,
+            fleet,
+            Purges(GONE_EVERYWHERE),
+            Collapsing(),
+            kb_per_s=kb_per_s,
+            hop_limit=8,
+            joins=True,
+            probes=False,
+            cancels=True,
+            longest_come_back=come_back,
+        )
+        self.list_servers(
+            {f"c{n}": (1, 0, n % 2) for n in range(caches)} | {f"p{n}": (0, 1, 0) for n in range(2)} | {"origin": (0, 2, 0)}, complete=True
+        )
 
     # What the tests make happen.
 
@@ -57,19 +79,24 @@
                 if name not in rows:
                     self.servers[name]["state"] = "gone"
         for name, (zone, kind, cell) in rows.items():
-            self.servers[name] = {"state": state, "zone": zone, "kind": kind, "cell": cell,
-                                  "started": started}
+            self.servers[name] = {"state": state, "zone": zone, "kind": kind, "cell": cell, "started": started}
             self.router.fleet.server_listed(name, state, started, zone, self.rating, kind, cell)
         self.router.fleet.list_ends()
 
     def change(self, name, state="up", started=None):
         s = self.servers[name]
-        self.list_servers({name: (s["zone"], s["kind"], s["cell"])}, state=state,
-                          started=s["started"] if started is None else started)
+        self.list_servers({name: (s["zone"], s["kind"], s["cell"])}, state=state, started=s["started"] if started is None else started)
 
     def arrive(self, ident, rule_at=0, obj="a", part=0, left=4 * SECOND, kb=100.0, group=1):
-        self.txns[ident] = {"rule": self.rules[rule_at], "limit": self.clock + left, "hops": [],
-                            "final": None, "obj": obj, "group": group, "kb": kb}
+        self.txns[ident] = {
+            "rule": self.rules[rule_at],
+            "limit": self.clock + left,
+            "hops": [],
+            "final": None,
+            "obj": obj,
+            "group": group,
+            "kb": kb,
+        }
         self.router.txn_arrived(ident, rule_at, obj, part, left, kb, group)
 
     def end(self, ident, result, note=0, number=None, waited=None):
@@ -93,10 +120,15 @@
     def pass_time(self, span):
         until = self.clock + span
         while True:
-            cuts = [(h["cut_at"], 0, i, n) for i, t in self.txns.items() for n, h in enumerate(t["hops"])
-                    if h["out"] and not h.get("cancelled")]
-            gone = [(h["cancelled"] + 2 * MS, 1, i, n) for i, t in self.txns.items()
-                    for n, h in enumerate(t["hops"]) if h["out"] and h.get("cancelled")]
+            cuts = [
+                (h["cut_at"], 0, i, n) for i, t in self.txns.items() for n, h in enumerate(t["hops"]) if h["out"] and not h.get("cancelled")
+            ]
+            gone = [
+                (h["cancelled"] + 2 * MS, 1, i, n)
+                for i, t in self.txns.items()
+                for n, h in enumerate(t["hops"])
+                if h["out"] and h.get("cancelled")
+            ]
             due = sorted(cuts + gone + [(at, 2, label, 0) for label, at in self.alarms])[:1]
             if not due or due[0][0] > until:
                 break
@@ -133,12 +165,25 @@
         assert len(txn["hops"]) < 8 and self.clock < cut_at <= txn["limit"]
         assert (rank == 0 and not join) if txn["rule"].never_kept else rank >= 2
         for obj, group, made, told in self.purges:
-            if self.clock - made <= GONE_EVERYWHERE and not txn["rule"].never_kept and (
-                    obj == txn["obj"] or (obj is None and group == txn["group"])):
+            if (
+                self.clock - made <= GONE_EVERYWHERE
+                and not txn["rule"].never_kept
+                and (obj == txn["obj"] or (obj is None and group == txn["group"]))
+            ):
                 assert 0 < max_age <= max(1000, self.clock - made), "a copy older than the purge would do"
-        hop = {"server": server, "source": source, "at": self.clock, "cut_at": cut_at, "out": True,
-               "result": None, "join": join, "fetch": fetch, "max_age": max_age, "note": 0,
-               "work": txn["kb"] / 1000.0}
+        hop = {
+            "server": server,
+            "source": source,
+            "at": self.clock,
+            "cut_at": cut_at,
+            "out": True,
+            "result": None,
+            "join": join,
+            "fetch": fetch,
+            "max_age": max_age,
+            "note": 0,
+            "work": txn["kb"] / 1000.0,
+        }
         txn["hops"].append(hop)
         self.check_cold(server, 0.5)
         if source and source != "origin":
@@ -150,10 +195,8 @@
         started = self.servers[name]["started"]
         if not started or self.clock - started >= RAMP:
             return
-        hops = [h for t in self.txns.values() for h in t["hops"]
-                if self.clock - h["at"] < SPAN and h["at"] >= started]
-        asked = [h for h in hops if h["server"] == name
-                 or (h["source"] == name and h["note"] not in (HIT, JOINED, PAST_FRESH))]
+        hops = [h for t in self.txns.values() for h in t["hops"] if self.clock - h["at"] < SPAN and h["at"] >= started]
+        asked = [h for h in hops if h["server"] == name or (h["source"] == name and h["note"] not in (HIT, JOINED, PAST_FRESH))]
         able = self.rating * (COLD + (1 - COLD) * (self.clock - started) / RAMP)
         budget = share * MULTIPLE * able * SPAN / SECOND + 2 * max(h["work"] for h in asked)
         assert sum(h["work"] for h in asked) <= budget, "a cold server pushed over"
@@ -210,23 +253,51 @@
 
 # Stand-ins for what the service talks to, on loopback, and the service itself as a process.
 
-CLASSES = [dict(name="media", repeat="idempotent", worth=2.0, lateWorth=0.1, aimUs=600_000, hardLimitUs=5_000_000),
-           dict(name="checkout", repeat="deduplicated", memorySpanUs=6_000_000, worth=3.0, aimUs=800_000,
-                hardLimitUs=3_000_000)]
+CLASSES = [
+    dict(name="media", repeat="idempotent", worth=2.0, lateWorth=0.1, aimUs=600_000, hardLimitUs=5_000_000),
+    dict(name="checkout", repeat="deduplicated", memorySpanUs=6_000_000, worth=3.0, aimUs=800_000, hardLimitUs=3_000_000),
+]
 
 
 def settings():
     return {
-        "zone": 0, "areas": ["east"], "kinds": ["std", "parent", "origin"], "weights": "nominal", "replicasOfMe": 1,
-        "classes": [dict(row) for row in CLASSES], "report": {"columns": ["active", "cpu"]},
+        "zone": 0,
+        "areas": ["east"],
+        "kinds": ["std", "parent", "origin"],
+        "weights": "nominal",
+        "replicasOfMe": 1,
+        "classes": [dict(row) for row in CLASSES],
+        "report": {"columns": ["active", "cpu"]},
         "familyInfo": dict(
-            upperKind=1, rootKind=2, neverKept=[False, True], goodForUs=[0, 0], olderByUs=[0, 0],
-            classStaleWorth=[0.5, 0.5], countByZone=[1], pipeKbPerS=[0.0], clientKbPerS=2800.0, upperColdFrom=0.1,
-            parentRampUs=9_000_000, upperFallMultiple=2.0, siblings="none", mergesFills=True,
-            goneEverywhereUs=6_000_000),
+            upperKind=1,
+            rootKind=2,
+            neverKept=[False, True],
+            goodForUs=[0, 0],
+            olderByUs=[0, 0],
+            classStaleWorth=[0.5, 0.5],
+            countByZone=[1],
+            pipeKbPerS=[0.0],
+            clientKbPerS=2800.0,
+            upperColdFrom=0.1,
+            parentRampUs=9_000_000,
+            upperFallMultiple=2.0,
+            siblings="none",
+            mergesFills=True,
+            goneEverywhereUs=6_000_000,
+        ),
         "guarantees": dict(coldFrom=0.2, rampTimeUs=9_000_000, fallMultiple=2.5, overloadForUs=1_000_000),
-        "allowed": dict(sendCap=8, probes=False, cancel=True, maxRetryAfterUs=1_000_000, retryAfter=True,
-                        connectTimeoutUs=5_000_000, idleCloseUs=30_000_000, maxStreams=100, maxOpen=500)}
+        "allowed": dict(
+            sendCap=8,
+            probes=False,
+            cancel=True,
+            maxRetryAfterUs=1_000_000,
+            retryAfter=True,
+            connectTimeoutUs=5_000_000,
+            idleCloseUs=30_000_000,
+            maxStreams=100,
+            maxOpen=500,
+        ),
+    }
 
 
 def clock():
@@ -252,11 +323,14 @@
 def at_its_peer(sock, state):
     """Returns once the other end of a connection on this machine is in that state of the system's table: 8, its peer's end has come;
     7, reset or closed, where it is not listed at all."""
-    here, there = ("%s:%04X" % (bytes(reversed(socket.inet_aton(host))).hex().upper(), port) for host, port in (sock.getsockname(), sock.getpeername()))
+    here, there = (
+        "%s:%04X" % (bytes(reversed(socket.inet_aton(host))).hex().upper(), port) for host, port in (sock.getsockname(), sock.getpeername())
+    )
 
     def found():
         rows = [row.split() for row in open("/proc/net/tcp").read().splitlines()[1:]]
         return next((int(row[3], 16) for row in rows if row[1] == there and row[2] == here), 7) == state
+
     until(found)
 
 
@@ -356,6 +430,7 @@
                 conn.recv(1, socket.MSG_PEEK)
                 self.go_on.wait(20)
                 return conn.recv_into(view)
+
         return io.BufferedReader(Slow(), 512)
 
 
@@ -391,8 +466,7 @@
 
 
 def endpoint(name, address, kind="std", status="up"):
-    return {"name": name, "address": address, "zone": "east", "type": kind, "group": 0, "status": status, "weight": 50,
-            "since_ms": 0}
+    return {"name": name, "address": address, "zone": "east", "type": kind, "group": 0, "status": status, "weight": 50, "since_ms": 0}
 
 
 class Client:
@@ -407,11 +481,17 @@
         self.sock.sendall(struct.pack(">IBI", 5 + len(payload), kind, stream) + payload)
 
     def ask(self, stream, body=b"", drop=(), **fields):
-        fields = {"verb": "media", "txn": f"{stream:016x}", "limit": "3000", "item": f"{stream:016x}", "slice": "0",
-                  "set": "7", "ram": "100"} | fields
+        fields = {
+            "verb": "media",
+            "txn": f"{stream:016x}",
+            "limit": "3000",
+            "item": f"{stream:016x}",
+            "slice": "0",
+            "set": "7",
+            "ram": "100",
+        } | fields
         pairs = [(k.encode(), v.encode()) for k, v in fields.items() if k not in drop]
-        self.send(65, stream, bytes([len(pairs)]) + b"".join(
-            bytes([len(k)]) + k + len(v).to_bytes(2, "big") + v for k, v in pairs) + body)
+        self.send(65, stream, bytes([len(pairs)]) + b"".join(bytes([len(k)]) + k + len(v).to_bytes(2, "big") + v for k, v in pairs) + body)
 
     def get(self):
         """(type, stream, code, fields, body) of the next frame; None at the end."""
@@ -425,9 +505,9 @@
         at, fields = 7, {}
         for _ in range(data[6]):
             size = data[at]
-            name, at = data[at + 1:at + 1 + size].decode(), at + 1 + size
-            size = int.from_bytes(data[at:at + 2], "big")
-            fields[name], at = data[at + 2:at + 2 + size].decode(), at + 2 + size
+            name, at = data[at + 1 : at + 1 + size].decode(), at + 1 + size
+            size = int.from_bytes(data[at : at + 2], "big")
+            fields[name], at = data[at + 2 : at + 2 + size].decode(), at + 2 + size
         return kind, stream, data[5], fields, data[at:]
 
 
@@ -467,14 +547,23 @@
         rows = [endpoint(f"c{n}", cache.address) for n, cache in enumerate(caches)]
         rows += [endpoint("p0", "127.0.0.1:1", "parent"), endpoint("o", "127.0.0.1:1", "origin")]
         pool = {"rev": 1, "pool": {"index": 1, "snapshot": True, "endpoints": rows}}
-        self.conf = {"name": "n0", "listen": self.address, "seed": "1f", "board": self.board.address,
-                     "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
-                     "known": {"rev": 1, "notices": [pool]}, "settings": settings()} | conf
+        self.conf = {
+            "name": "n0",
+            "listen": self.address,
+            "seed": "1f",
+            "board": self.board.address,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "known": {"rev": 1, "notices": [pool]},
+            "settings": settings(),
+        } | conf
         self.path = folder / "config.json"
         self.path.write_text(json.dumps(self.conf))
         self.log = open(folder / "log", "wb+")
-        self.process = subprocess.Popen([sys.executable, "-B", "-m", "fieldspur"], stderr=self.log,
-                                        env=os.environ | {"LB_CONFIG": str(self.path)} | self.wishes(operators) | (env or {}))
+        self.process = subprocess.Popen(
+            [sys.executable, "-B", "-m", "fieldspur"],
+            stderr=self.log,
+            env=os.environ | {"LB_CONFIG": str(self.path)} | self.wishes(operators) | (env or {}),
+        )
 
     def wishes(self, operators):
         if operators is None:
@@ -485,15 +574,18 @@
 
     def early(self):
         """A client as soon as the listener is open, whatever the router says of itself."""
+
         def came():
             try:
                 return Client(self.address)
             except OSError:
                 assert self.process.poll() is None, self.lines()
+
         return until(came, "a listener")
 
     def client(self):
         """A client, once the router says that it is ready."""
+
         def ready():
             try:
                 client = Client(self.address)
@@ -502,6 +594,7 @@
                 return None
             client.send(80, 1 << 30, b"\0")
             return client if client.get()[:3] == (81, 1 << 30, 79) else None
+
         return until(ready, "a ready router")
 
     def reload(self, text=None, **conf):
--- a/tests/routers.py
+++ b/tests/routers.py
@@ -31,8 +31,16 @@
     def wishes(self, n, **more):
         folder = self.folder / f"r{n}"
         folder.mkdir(exist_ok=True)
-        fleet = {"name": "valley", "lease_s": 1.0, "work": self.asked[n], **self.fleet, "members": {
-            name: (f"{HOST}:{self.ports[m]}" if m == n else f"127.0.0.1:{self.links[n, m].port}") + f" z{m % 2}" for m, name in enumerate(self.names)}}
+        fleet = {
+            "name": "valley",
+            "lease_s": 1.0,
+            "work": self.asked[n],
+            **self.fleet,
+            "members": {
+                name: (f"{HOST}:{self.ports[m]}" if m == n else f"127.0.0.1:{self.links[n, m].port}") + f" z{m % 2}"
+                for m, name in enumerate(self.names)
+            },
+        }
         return {"fleet": fleet | ({"folder": str(folder)} if self.disk else {}) | more}
 
     def start(self, n):
@@ -40,8 +48,7 @@
         quick = settings()
         quick["guarantees"] |= {"rampTimeUs": 1_000_000}  # from cold to full
         quick["familyInfo"] |= {"parentRampUs": 1_000_000}
-        return Service(self.folder / f"r{n}", self.caches, self.board, wishes, name=self.names[n], settings=quick,
-                       env=self.clocks[n].env)
+        return Service(self.folder / f"r{n}", self.caches, self.board, wishes, name=self.names[n], settings=quick, env=self.clocks[n].env)
 
     def restart(self, n):
         self.old.append(self.all[n])
@@ -53,11 +60,13 @@
 
     def found(self, n=0):
         until(lambda: all(self.said(m) for m in range(self.many)), "all members")
+
         def begun():
             for first, wait in ((False, 0.1), (True, 0.5)):
                 self.reload(n, first=first)
                 time.sleep(wait)
             return "event=founding" in self.all[n].lines()
+
         until(begun, "a fleet that begins")
         until(lambda: all(self.said(m)["register"]["life"] for m in self.settle()), "all members with a life")
         return self.acting()
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -15,8 +15,15 @@
 from fieldspur.site import BadSite, deployment, read_node
 
 HEXES = st.text("0123456789abcdef", min_size=16, max_size=16)
-FIELDS = {"verb": "media", "txn": "9b1f03aa5c7e2d41", "limit": "1500", "item": "7f3a9c21e0b4d655", "slice": "3",
-          "set": "17", "ram": "412.5"}
+FIELDS = {
+    "verb": "media",
+    "txn": "9b1f03aa5c7e2d41",
+    "limit": "1500",
+    "item": "7f3a9c21e0b4d655",
+    "slice": "3",
+    "set": "17",
+    "ram": "412.5",
+}
 
 
 def cut(data, cuts):
@@ -25,18 +32,31 @@
 
 
 @tries(deadline=None, derandomize=True)
-@given(st.lists(st.tuples(HEXES, st.integers(0, 9), st.binary(max_size=300)), max_size=5),
-       st.lists(st.integers(0, 5000), max_size=8))
+@given(st.lists(st.tuples(HEXES, st.integers(0, 9), st.binary(max_size=300)), max_size=5), st.lists(st.integers(0, 5000), max_size=8))
 def test_requests_survive_any_split_of_reads(rows, cuts):
     data = b"".join(
-        b"".join(frames.encode(frames.REQUEST, n + 1, None, None, bytes([len(FIELDS)]) + b"".join(
-            bytes([len(k)]) + k.encode() + len(v).to_bytes(2, "big") + v.encode()
-            for k, v in (FIELDS | {"txn": txn, "slice": str(part)}).items()) + body)
-            + frames.encode(frames.GONE, n + 1)) for n, (txn, part, body) in enumerate(rows))
+        b"".join(
+            frames.encode(
+                frames.REQUEST,
+                n + 1,
+                None,
+                None,
+                bytes([len(FIELDS)])
+                + b"".join(
+                    bytes([len(k)]) + k.encode() + len(v).to_bytes(2, "big") + v.encode()
+                    for k, v in (FIELDS | {"txn": txn, "slice": str(part)}).items()
+                )
+                + body,
+            )
+            + frames.encode(frames.GONE, n + 1)
+        )
+        for n, (txn, part, body) in enumerate(rows)
+    )
     decoder = frames.Decoder()
     values = [value for piece in cut(data, cuts) for value in decoder.feed(piece)]
     assert [(v.txn, v.part, v.body, v.limit, v.kb, v.group) for v in values[::2]] == [
-        (txn, part, body, 1_500_000_000, 412.5, 17) for txn, part, body in rows]
+        (txn, part, body, 1_500_000_000, 412.5, 17) for txn, part, body in rows
+    ]
     assert values[1::2] == [frames.Withdrawn(n + 1) for n in range(len(rows))] and not len(decoder.window)
 
 
@@ -47,8 +67,7 @@
         try:
             for piece in cut(data, cuts):
                 for value in decoder.feed(piece):
-                    assert isinstance(value, (frames.Request, frames.Unusable, frames.Withdrawn, frames.ReadyAsked,
-                                              resp.Reply))
+                    assert isinstance(value, (frames.Request, frames.Unusable, frames.Withdrawn, frames.ReadyAsked, resp.Reply))
         except bad:
             pass
 
@@ -63,24 +82,45 @@
 
 
 @tries(deadline=None, derandomize=True)
-@given(st.lists(st.tuples(HEXES, st.sampled_from(sorted(resp.RESULTS)), st.binary(max_size=400),
-                          st.sampled_from(resp.NOTES), st.integers(0, 4000)), max_size=5),
-       st.lists(st.integers(0, 4000), max_size=8))
+@given(
+    st.lists(
+        st.tuples(HEXES, st.sampled_from(sorted(resp.RESULTS)), st.binary(max_size=400), st.sampled_from(resp.NOTES), st.integers(0, 4000)),
+        max_size=5,
+    ),
+    st.lists(st.integers(0, 4000), max_size=8),
+)
 def test_replies_survive_any_split_of_reads(rows, cuts):
-    data = b"".join(resp.array(ident.encode(), said.encode(), f"entity=e,tell={note},delay={delay},meter=inflight:7;util:0.5"
-                               .encode() if note else b"entity=e", body) for ident, said, body, note, delay in rows)
+    data = b"".join(
+        resp.array(
+            ident.encode(),
+            said.encode(),
+            f"entity=e,tell={note},delay={delay},meter=inflight:7;util:0.5".encode() if note else b"entity=e",
+            body,
+        )
+        for ident, said, body, note, delay in rows
+    )
     decoder = resp.Decoder()
     replies = [(reply, bytes(reply.body)) for piece in cut(data, cuts) for reply in decoder.feed(piece)]
     assert [(r.ident, r.result, body, r.note) for r, body in replies] == [
-        (ident, resp.RESULTS[said], body, resp.NOTES.index(note)) for ident, said, body, note, _ in rows]
+        (ident, resp.RESULTS[said], body, resp.NOTES.index(note)) for ident, said, body, note, _ in rows
+    ]
     for (reply, _), row in zip(replies, rows):
         assert reply.waited == (row[4] * 1_000_000 if row[3] else None)
         assert reply.load == ({"inflight": 7.0, "util": 0.5} if row[3] else None)
 
 
-@pytest.mark.parametrize("items", [
-    (b"ACK", b"entity=e"), (b"ACK", b"entity=e", b"x", b"y"), (b"WHAT", b"-", b""), (b"ACK",),
-    (b"ACK", b"entity=e,delay=nan", b""), (b"ACK", b"entity=e,delay=-1", b""), (b"ACK", b"entity=e,delay=1e999", b"")])
+@pytest.mark.parametrize(
+    "items",
+    [
+        (b"ACK", b"entity=e"),
+        (b"ACK", b"entity=e", b"x", b"y"),
+        (b"WHAT", b"-", b""),
+        (b"ACK",),
+        (b"ACK", b"entity=e,delay=nan", b""),
+        (b"ACK", b"entity=e,delay=-1", b""),
+        (b"ACK", b"entity=e,delay=1e999", b""),
+    ],
+)
 def test_an_answer_with_something_off_is_not_taken_for_a_good_one(items):
     with pytest.raises(resp.BadReply):
         list(resp.Decoder().feed(resp.array(b"9b1f03aa5c7e2d41", *items)))
@@ -91,31 +131,67 @@
 
 
 def test_a_want_names_only_what_it_means():
-    base = dict(txn="9b1f03aa5c7e2d41", rule="media", obj="7f3a9c21e0b4d655", part=3, limit_ms=1500, key=None,
-                source=None, rank=0, within_ms=0, join=False, renew=False, fetch=True, tag=None, body=b"")
+    base = dict(
+        txn="9b1f03aa5c7e2d41",
+        rule="media",
+        obj="7f3a9c21e0b4d655",
+        part=3,
+        limit_ms=1500,
+        key=None,
+        source=None,
+        rank=0,
+        within_ms=0,
+        join=False,
+        renew=False,
+        fetch=True,
+        tag=None,
+        body=b"",
+    )
     assert b"".join(resp.want(resp.Want(**base))) == resp.array(
-        b"want", b"9b1f03aa5c7e2d41", b"cls=media,item=7f3a9c21e0b4d655,chunk=3,limit=1500", b"")
+        b"want", b"9b1f03aa5c7e2d41", b"cls=media,item=7f3a9c21e0b4d655,chunk=3,limit=1500", b""
+    )
     full = base | dict(key="k", source="p0", rank=2, within_ms=40, join=True, renew=True, fetch=False, tag="t", body=b"x")
     assert b"".join(resp.want(resp.Want(**full))) == resp.array(
-        b"want", b"9b1f03aa5c7e2d41", b"cls=media,item=7f3a9c21e0b4d655,chunk=3,limit=1500,nonce=k,miss=p0,prio=2,"
-        b"within=40,f=collapse+only-if-cached+refresh,mine=t", b"x")
+        b"want",
+        b"9b1f03aa5c7e2d41",
+        b"cls=media,item=7f3a9c21e0b4d655,chunk=3,limit=1500,nonce=k,miss=p0,prio=2,within=40,f=collapse+only-if-cached+refresh,mine=t",
+        b"x",
+    )
 
 
-@pytest.mark.parametrize("data", [
-    b"\0\0\0\4A\0\0\0\1", b"\0\4\0\1A\0\0\0\1", b"\0\0\0\5B\0\0\0\1", b"\0\0\0\5\0\0\0\0\1"])
+@pytest.mark.parametrize("data", [b"\0\0\0\4A\0\0\0\1", b"\0\4\0\1A\0\0\0\1", b"\0\0\0\5B\0\0\0\1", b"\0\0\0\5\0\0\0\0\1"])
 def test_frames_out_of_bounds_or_not_for_a_router_end_the_reading(data):
     with pytest.raises(frames.BadFrame):
         list(frames.Decoder().feed(data))
 
 
-@pytest.mark.parametrize("name, value", [
-    ("txn", None), ("txn", "9b"), ("limit", None), ("limit", "-1"), ("limit", "1e3"), ("item", "x" * 16),
-    ("slice", "1.5"), ("set", "256"), ("set", None), ("ram", "nan"), ("ram", "many"), ("ram", "1e308"), ("ram", "1_0"), ("ram", "-1"), ("unique", "a,b"),
-    ("seen", "a b"), ("verb", None)])
+@pytest.mark.parametrize(
+    "name, value",
+    [
+        ("txn", None),
+        ("txn", "9b"),
+        ("limit", None),
+        ("limit", "-1"),
+        ("limit", "1e3"),
+        ("item", "x" * 16),
+        ("slice", "1.5"),
+        ("set", "256"),
+        ("set", None),
+        ("ram", "nan"),
+        ("ram", "many"),
+        ("ram", "1e308"),
+        ("ram", "1_0"),
+        ("ram", "-1"),
+        ("unique", "a,b"),
+        ("seen", "a b"),
+        ("verb", None),
+    ],
+)
 def test_a_request_that_can_not_be_used_says_which_field(name, value):
     fields = {k: v for k, v in (FIELDS | {name: value}).items() if v is not None}
     payload = bytes([len(fields)]) + b"".join(
-        bytes([len(k)]) + k.encode() + len(v).to_bytes(2, "big") + v.encode() for k, v in fields.items())
+        bytes([len(k)]) + k.encode() + len(v).to_bytes(2, "big") + v.encode() for k, v in fields.items()
+    )
     value = frames.request(1, payload)
     assert isinstance(value, frames.Unusable) and value.why.startswith(name)
 
@@ -126,16 +202,22 @@
     assert used.low == 4 and not used.above
 
 
-@pytest.mark.parametrize("path, value, said", [
-    ("zone", None, "settings.zone: missing"), ("zone", 4, "settings.zone: not within"),
-    ("familyInfo.goodForUs", [0], "settings.familyInfo.goodForUs: 1 values for 2 rules"),
-    ("familyInfo.upperColdFrom", "x", "settings.familyInfo.upperColdFrom: not a number"),
-    ("guarantees", 3, "settings.guarantees: not an object"), ("allowed.probes", 1, "settings.allowed.probes: not true"),
-    ("classes", [{"name": "a"}], "settings.familyInfo.neverKept: 2 values"),
-    ("guarantees.overloadForUs", 0, "settings.guarantees.overloadForUs: below 1"),
-    ("areas", [1], "settings.areas: not a list of names"),
-    ("familyInfo.says", "some", "settings.familyInfo.says: none of all, hit, none"),
-    ("shape", "look", "settings.shape: none of as-told, watch")])
+@pytest.mark.parametrize(
+    "path, value, said",
+    [
+        ("zone", None, "settings.zone: missing"),
+        ("zone", 4, "settings.zone: not within"),
+        ("familyInfo.goodForUs", [0], "settings.familyInfo.goodForUs: 1 values for 2 rules"),
+        ("familyInfo.upperColdFrom", "x", "settings.familyInfo.upperColdFrom: not a number"),
+        ("guarantees", 3, "settings.guarantees: not an object"),
+        ("allowed.probes", 1, "settings.allowed.probes: not true"),
+        ("classes", [{"name": "a"}], "settings.familyInfo.neverKept: 2 values"),
+        ("guarantees.overloadForUs", 0, "settings.guarantees.overloadForUs: below 1"),
+        ("areas", [1], "settings.areas: not a list of names"),
+        ("familyInfo.says", "some", "settings.familyInfo.says: none of all, hit, none"),
+        ("shape", "look", "settings.shape: none of as-told, watch"),
+    ],
+)
 def test_a_faulty_key_is_named(path, value, said):
     conf = copy.deepcopy(settings())
     *way, last = path.split(".")
@@ -148,13 +230,18 @@
     assert str(bad.value).startswith(said)
 
 
-@pytest.mark.parametrize("text, said", [
-    (None, "LB_CONFIG: "), ("{", "LB_CONFIG: the file is not JSON"), ("[]", "the file: not an object"),
-    ('{"name": "n", "limits": {}, "known": {}, "seed": "1"}', "listen: missing"),
-    ('{"name": "n", "listen": "a:b", "limits": {}, "known": {}, "seed": "1"}', "listen: not an address"),
-    ('{"name": "n", "listen": "a:1", "limits": {}, "known": {}, "seed": "z"}', "seed: not a hexadecimal"),
-    ('{"name": "n", "listen": "a:1", "board": "b:1", "limits": {"sockets": 1}, "known": {}, "seed": "1"}',
-     "limits.sockets: below 24")])
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        (None, "LB_CONFIG: "),
+        ("{", "LB_CONFIG: the file is not JSON"),
+        ("[]", "the file: not an object"),
+        ('{"name": "n", "limits": {}, "known": {}, "seed": "1"}', "listen: missing"),
+        ('{"name": "n", "listen": "a:b", "limits": {}, "known": {}, "seed": "1"}', "listen: not an address"),
+        ('{"name": "n", "listen": "a:1", "limits": {}, "known": {}, "seed": "z"}', "seed: not a hexadecimal"),
+        ('{"name": "n", "listen": "a:1", "board": "b:1", "limits": {"sockets": 1}, "known": {}, "seed": "1"}', "limits.sockets: below 24"),
+    ],
+)
 def test_a_faulty_file_is_named(tmp_path, text, said):
     path = tmp_path / "config.json"
     if text is not None:
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -29,7 +29,8 @@
     "a request is read": (("admit", "Admit", "request", "self, *about", 5), "client"),
     "answers of a server are read": (("lane", "Lane", "replies", "self, *about", 5), "connection"),
     "an attempt is looked at before its write": (("send", "Send", "begin", "self, hop", 5), "write"),
-    "the clients' list is looked through": (("takein", "TakeIn", "look", "self, now", 2), "watch")}
+    "the clients' list is looked through": (("takein", "TakeIn", "look", "self, now", 2), "watch"),
+}
 
 
 @pytest.mark.parametrize("what", PLANTED)
@@ -72,12 +73,14 @@
         if len(calls) < 3:
             raise ValueError("for a moment")
         return "done"
+
     assert keep_running("test", fails_twice) == "done"
     calls.clear()
 
     def fails():
         calls.append(1)
         raise ValueError("for ever")
+
     with pytest.raises(ValueError):
         keep_running("test", fails)
     assert len(calls) == holds.MOST_IN_A_ROW
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -35,8 +35,9 @@
 def taken(send, outlet, ident=5, stream=1, before_ms=0, rule="media"):
     """A txn in the book, taken so long ago, and a hop of it that is not written yet."""
     now = clock()
-    txn = Txn(ident, f"{ident:016x}", 0, rule, "a" * 16, 0, 1, 1.0, None, None, b"", now - before_ms * MS, now + 3000 * MS, outlet,
-              stream, 1)
+    txn = Txn(
+        ident, f"{ident:016x}", 0, rule, "a" * 16, 0, 1, 1.0, None, None, b"", now - before_ms * MS, now + 3000 * MS, outlet, stream, 1
+    )
     send.book.take(txn)
     assert outlet.open(stream, ident)
     want = resp.Want(txn.name, rule, txn.obj, 0, 3000, None, None, 0, 0, False, False, True, None, b"")
@@ -390,9 +391,11 @@
 
 def test_a_connection_that_is_refused_its_options_ends_alone():
     """As some systems do for one that was reset while it waited; the thread that accepts must not end by it."""
+
     class Reset(socket.socket):
         def setsockopt(self, *about):
             raise OSError("reset")
+
     takein, sock = entered(), Reset()
     takein.enter(sock)
     assert sock.fileno() < 0 and not takein.clients
@@ -416,6 +419,7 @@
             self.real.release()
             if not outlet.writing and not outlet.ended:
                 outlet.end()
+
     outlet.waiting.append(b"x")
     outlet.writing, outlet.lock = True, Lock()
     outlet.drain()
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -60,8 +60,15 @@
 # Known failures.
 
 
-@pytest.mark.parametrize("text", ["tests/test_x.py::test_a, no cause", "tests/test_x.py::test_a", ", cause, 35",
-                                  "\n".join(f"tests/test_x.py::test_{n}, slow, 35" for n in range(4))])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "tests/test_x.py::test_a, no cause",
+        "tests/test_x.py::test_a",
+        ", cause, 35",
+        "\n".join(f"tests/test_x.py::test_{n}, slow, 35" for n in range(4)),
+    ],
+)
 def test_a_list_of_known_failures_that_can_not_be_used_is_refused(text):
     with pytest.raises(ValueError):
         known_red.rows(text)
@@ -69,7 +76,8 @@
 
 def test_a_known_failure_has_its_test_its_cause_and_its_issue():
     assert known_red.rows("# none\n\ntests/test_x.py::test_a[b], late, by a lot, 35\n") == [
-        ("tests/test_x.py::test_a[b]", "late, by a lot", "35")]
+        ("tests/test_x.py::test_a[b]", "late, by a lot", "35")
+    ]
 
 
 # Attempts that wait.
@@ -177,10 +185,12 @@
 
 def failing(real, numbers):
     """A call that fails with each of these numbers before it does as it should."""
+
     def call(*about):
         if numbers:
             raise OSError(numbers.pop(0), "for a moment")
         return real(*about)
+
     return call
 
 
@@ -286,6 +296,7 @@
             handed.set()
             time.sleep(0.3)
             return found
+
     takein.listener = Slow(real)
     threading.Thread(target=takein.run, daemon=True).start()
     there = joins(takein, accept=False)
--- a/tests/test_first_bytes.py
+++ b/tests/test_first_bytes.py
@@ -26,6 +26,7 @@
 
 # A start.
 
+
 @pytest.mark.parametrize("wait", [0.0, 0.03, 0.3])
 def test_txns_that_come_before_the_board_has_spoken_never_see_the_list_of_the_file(run, wait):
     """Found on herd+mass: 43 of 134 restarted routers wrote hops before they had asked the board, 13 to a drained one."""
@@ -70,7 +71,7 @@
     assert ends[4][0] == 66 and ends[4][1] < 0.15 and ends[4][2]
     assert ends[1][0] == 66 and 0.1 < ends[1][1] < 0.26 and ends[1][2], ends
     assert ends[2][0] == ends[3][0] == 79 and 0.5 < ends[2][1] < 1.4
-    assert "event=open why=\"no word of the board\"" in service.lines()
+    assert 'event=open why="no word of the board"' in service.lines()
 
 
 def test_a_txn_withdrawn_at_the_gate_is_forgotten_and_the_router_says_it_is_not_ready(run):
@@ -84,14 +85,17 @@
     assert client.get()[:3] == (66, 2, 79) and [w["id"] for w in cache.wants] == ["%016x" % 2]
 
 
-@pytest.mark.parametrize("now, limit, waiting, until_at", [
-    (0, 1000, 0, 400), (0, 10_000, 0, 4000), (900, 100_000, 0, 1000 + 49_500), (0, 1000, 5, 0), (5, 5, 0, 5)])
+@pytest.mark.parametrize(
+    "now, limit, waiting, until_at",
+    [(0, 1000, 0, 400), (0, 10_000, 0, 4000), (900, 100_000, 0, 1000 + 49_500), (0, 1000, 5, 0), (5, 5, 0, 5)],
+)
 def test_the_gate_keeps_a_txn_for_a_part_of_its_time(now, limit, waiting, until_at):
     assert Gate(0, 1000, 5).until(now, limit, waiting) == min(until_at, now + int((limit - now) * 0.4))
 
 
 # Hops that wait in a connection.
 
+
 def fill(send, cache, count=60, **about):
     """A connection with a hop that was answered, a server that stopped reading, and hops behind that wait."""
     first = hop(1)
@@ -187,7 +191,8 @@
     "gone": lambda send: send.listed("c0", ("", 0), "gone"),
     "source": lambda send: send.listed("p0", ("127.0.0.1", 1), "draining"),
     "purge of the group": lambda send: send.purge_told(None, 7),
-    "purge of the object": lambda send: send.purge_told("0" * 16, -1)}
+    "purge of the object": lambda send: send.purge_told("0" * 16, -1),
+}
 
 
 @pytest.mark.parametrize("change", CHANGES)
@@ -256,12 +261,12 @@
         one.want.body = b"x" * (500 - sum(map(len, resp.want(one.want))))
     sizes = [sum(map(len, resp.want(one.want))) for one in hops]
     takes = iter([taken])  # and nothing of what is left
-    monkeypatch.setattr("fieldspur.net.lane.write_now", lambda sock, data: [b"".join(data)[next(takes, 0):]])
+    monkeypatch.setattr("fieldspur.net.lane.write_now", lambda sock, data: [b"".join(data)[next(takes, 0) :]])
     lane.draining = True  # nobody else pumps
     for one in hops:
         send.hop(one)
     left, cut, full = lane.write()
-    whole = sum(sum(sizes[:n + 1]) <= taken for n in range(3))
+    whole = sum(sum(sizes[: n + 1]) <= taken for n in range(3))
     begun = sum(sum(sizes[:n]) < taken for n in range(3))
     assert full and [bool(one.written) for one in hops] == [n < begun for n in range(3)]
     assert list(lane.queue) == hops[begun:]
@@ -314,6 +319,7 @@
 
 # The Router's queue, and a process held up.
 
+
 def route_to(cache):
     send = sender(cache.address)
     route = Route(send.site, 1, send.book, send.relay, send)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -43,31 +43,37 @@
     for n, me in enumerate(state):
         for m in range(members):
             if m != n and views[n][m] != state[m]:  # reads what stands there now; what lay between was lost
-                mine = views[n][:m] + (state[m],) + views[n][m + 1:]
+                mine = views[n][:m] + (state[m],) + views[n][m + 1 :]
                 yield taken(state, views, n, agree.step(me, mine), mine, asks_left, crashes_left, nonce, decided, follow)
         if asks_left[n] and me.life:
-            left = asks_left[:n] + (asks_left[n] - 1,) + asks_left[n + 1:]
+            left = asks_left[:n] + (asks_left[n] - 1,) + asks_left[n + 1 :]
             yield taken(state, views, n, agree.ask(me), views[n], left, crashes_left, nonce, decided, follow)
         if crashes_left:
             new = blank(n, members, nonce)
             sees = (None,) * n + (new,) + (None,) * (members - n - 1)
-            yield (state[:n] + (new,) + state[n + 1:], views[:n] + (sees,) + views[n + 1:], asks_left, crashes_left - 1,
-                   nonce + 1, decided)
+            yield (
+                state[:n] + (new,) + state[n + 1 :],
+                views[:n] + (sees,) + views[n + 1 :],
+                asks_left,
+                crashes_left - 1,
+                nonce + 1,
+                decided,
+            )
 
 
 def taken(state, views, n, me, mine, asks_left, crashes_left, nonce, decided, follow):
-    mine = mine[:n] + (me,) + mine[n + 1:]
+    mine = mine[:n] + (me,) + mine[n + 1 :]
     for _ in range(2):  # a word of its own may be decided by itself with what it sees
         me = agree.propose(me, mine, lambda value: (n,) if value is None else value + (n,) if len(value) <= follow else None)
-        mine = mine[:n] + (me,) + mine[n + 1:]
+        mine = mine[:n] + (me,) + mine[n + 1 :]
         me = agree.step(me, mine)
-        mine = mine[:n] + (me,) + mine[n + 1:]
+        mine = mine[:n] + (me,) + mine[n + 1 :]
     if me.decided.mark != NO_MARK:
         value = me.decided.value
-        if decided and value[:len(decided)] != decided[:len(value)]:
+        if decided and value[: len(decided)] != decided[: len(value)]:
             raise Broken(f"{decided} was decided, and {value} at member {n}")
         decided = max(decided, value, key=len)
-    return (state[:n] + (me,) + state[n + 1:], views[:n] + (mine,) + views[n + 1:], asks_left, crashes_left, nonce, decided)
+    return (state[:n] + (me,) + state[n + 1 :], views[:n] + (mine,) + views[n + 1 :], asks_left, crashes_left, nonce, decided)
 
 
 def wander(seed, members=3, steps=60, crashes=1, asks=2, begun=None, follow=2):
@@ -167,21 +173,41 @@
     return fleet.decided()
 
 
-@pytest.mark.parametrize("history, planted", [
-    (a_promise_of_an_older_life, ("consistent", list)),
-    (an_acceptance_taken_over_after_a_later_promise, ("acceptances", lambda views, mark: agree.consistent(
-        [one for one in views if one is not None and one.life and one.accepted.mark == mark])))])
+@pytest.mark.parametrize(
+    "history, planted",
+    [
+        (a_promise_of_an_older_life, ("consistent", list)),
+        (
+            an_acceptance_taken_over_after_a_later_promise,
+            (
+                "acceptances",
+                lambda views, mark: agree.consistent([one for one in views if one is not None and one.life and one.accepted.mark == mark]),
+            ),
+        ),
+    ],
+)
 def test_what_was_forgotten_is_not_decided_twice(history, planted, monkeypatch):
     assert len(history()) <= 1
     monkeypatch.setattr(agree, *planted)
     assert len(history()) == 2
 
 
-@pytest.mark.parametrize("planted", [
-    lambda me, views, _: me._replace(life=1, lives=(1,) * len(views)),  # goes on as if it had never been there
-    lambda me, views, _: next((me._replace(  # takes one other's word
-        life=one.lives[me.member] + 1, lives=one.lives, promised=one.promised, accepted=one.accepted, decided=one.decided)
-        for one in views if one is not None and one.life and one.member != me.member), me)])
+@pytest.mark.parametrize(
+    "planted",
+    [
+        lambda me, views, _: me._replace(life=1, lives=(1,) * len(views)),  # goes on as if it had never been there
+        lambda me, views, _: next(
+            (
+                me._replace(  # takes one other's word
+                    life=one.lives[me.member] + 1, lives=one.lives, promised=one.promised, accepted=one.accepted, decided=one.decided
+                )
+                for one in views
+                if one is not None and one.life and one.member != me.member
+            ),
+            me,
+        ),
+    ],
+)
 def test_generated_runs_find_a_member_that_counts_again_too_early(planted, monkeypatch):
     begun = founded(3)
     for seed in range(300):
--- a/tests/test_fleet_desk.py
+++ b/tests/test_fleet_desk.py
@@ -56,6 +56,7 @@
 
     def row():
         return json.loads(call("show", "--operators", file, "--json"))[3]
+
     until(lambda: row()["counts"])
     assert row()["votes"] is False and row()["document"] is None and "r3" in call("show", "--operators", file)
     assert "r1 votes" in call("leave", "r1", "--operators", file, code=2)
--- a/tests/test_fleet_lease.py
+++ b/tests/test_fleet_lease.py
@@ -17,7 +17,7 @@
     """Agreement and lease of one member, with a clock of its own rate and start."""
 
     def __init__(self, n, register, chance):
-        self.n, self.register, self.rate, self.zero = n, register, chance.uniform(0.996, 1.004), chance.randrange(10 ** 15)
+        self.n, self.register, self.rate, self.zero = n, register, chance.uniform(0.996, 1.004), chance.randrange(10**15)
         self.views, self.said, self.lease = [None] * 5, [None] * 5, Lease(n, LENGTH)
         self.views[n] = register
         self.stopped_until = self.next_ask = 0
@@ -51,13 +51,11 @@
                     continue
                 me.views[other.n], me.said[other.n] = other.register, other.lease.backs
                 me.views[n] = me.register
-                me.register = agree.step(me.register, me.views, lambda ballot: me.lease.may_promise(ballot, now),
-                                         me.lease.may_return(now))
+                me.register = agree.step(me.register, me.views, lambda ballot: me.lease.may_promise(ballot, now), me.lease.may_return(now))
                 if other.tick[0] == me.register.promised != NO_BALLOT and me.register.life:
                     me.lease.read(*other.tick, now)
             me.views[n] = me.register
-            if me.register.life and not agree.leads(me.register, me.views) and now > me.next_ask and me.lease.may_promise(
-                    (1, n), now):
+            if me.register.life and not agree.leads(me.register, me.views) and now > me.next_ask and me.lease.may_promise((1, n), now):
                 me.next_ask = now + chance.randrange(500, 3000) * MS
                 me.register = agree.ask(me.register)
                 me.views[n] = me.register
@@ -77,8 +75,10 @@
 
 def from_the_answer(lease, said, now):
     """Planted: a majority's answer alone, whenever it came."""
-    return lease.ballot != NO_BALLOT and sum(one is not None and one.ballot == lease.ballot for n, one in enumerate(said)
-                                             if n != lease.member) >= 2
+    return (
+        lease.ballot != NO_BALLOT
+        and sum(one is not None and one.ballot == lease.ballot for n, one in enumerate(said) if n != lease.member) >= 2
+    )
 
 
 @pytest.mark.parametrize("planted", [dict(holder=from_the_answer), dict(began=False, forget=0.002)])
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -157,9 +157,16 @@
     assert {node.agreed() for node in world.nodes} == {world.decided}
 
 
-@pytest.mark.parametrize("change, said", [
-    ({"fleet": "other"}, "fleet: other"), ({"register": None}, "register"), ({"backs": [1]}, "backs"), ({"tick": None}, "tick"),
-    ({"backs": [[1, 2], 3], "tick": [[0, -1], -1]}, "tick")])
+@pytest.mark.parametrize(
+    "change, said",
+    [
+        ({"fleet": "other"}, "fleet: other"),
+        ({"register": None}, "register"),
+        ({"backs": [1]}, "backs"),
+        ({"tick": None}, "tick"),
+        ({"backs": [[1, 2], 3], "tick": [[0, -1], -1]}, "tick"),
+    ],
+)
 def test_a_line_that_is_none_changes_nothing(change, said):
     world = World(3, 1)
     line = world.nodes[1].line()
--- a/tests/test_fleet_plan.py
+++ b/tests/test_fleet_plan.py
@@ -20,15 +20,21 @@
     return Park(machines, Bounds(**{"zone": 1.0, "all": 1.0, "both": 1.0, "headroom": 1.0} | bounds), trouble).forbids(frozenset(names))
 
 
-@pytest.mark.parametrize("names, bounds, said", [
-    (["n0", "n1"], {"zone": 0.2}, "north: 0.33 of its capacity out, bounds.zone allows 0.20"),
-    (["n0"], {"zone": 0.2}, ""),
-    (["n0", "n1"], {"all": 0.1}, "bounds.all allows 0.10"), (["n0"], {"all": 0.01}, ""),
-    (["n0", "n1"], {"both": 0.0}, "lose home and next cache, bounds.both allows 0.000"), (["n0"], {"both": 0.0}, ""),
-    (["n0", "n1"], {"headroom": 0.1}, "north: a load of 6.0, bounds.headroom allows 4.0 of what stays"),
-    (["n0", "n1", "n2"], {"fills": 12.0}, "15 more fills a second, bounds.fills_s allows 12"),
-    (["n0", "n1", "n2"], {"at_once": 2}, "3 machines out, bounds.at_once allows 2"),
-    (["x"], {}, "x is not on the board")])
+@pytest.mark.parametrize(
+    "names, bounds, said",
+    [
+        (["n0", "n1"], {"zone": 0.2}, "north: 0.33 of its capacity out, bounds.zone allows 0.20"),
+        (["n0"], {"zone": 0.2}, ""),
+        (["n0", "n1"], {"all": 0.1}, "bounds.all allows 0.10"),
+        (["n0"], {"all": 0.01}, ""),
+        (["n0", "n1"], {"both": 0.0}, "lose home and next cache, bounds.both allows 0.000"),
+        (["n0"], {"both": 0.0}, ""),
+        (["n0", "n1"], {"headroom": 0.1}, "north: a load of 6.0, bounds.headroom allows 4.0 of what stays"),
+        (["n0", "n1", "n2"], {"fills": 12.0}, "15 more fills a second, bounds.fills_s allows 12"),
+        (["n0", "n1", "n2"], {"at_once": 2}, "3 machines out, bounds.at_once allows 2"),
+        (["x"], {}, "x is not on the board"),
+    ],
+)
 def test_each_bound_forbids_what_passes_it_and_says_so(names, bounds, said):
     found = forbidden(caches(6), names, **bounds)
     assert said in found if said else not found
@@ -59,8 +65,7 @@
     machines = caches(4) | {f"p{n}": Machine("north", True, 40.0, 5.0, 0.0) for n in range(2)}
     assert not forbidden(machines, ["p0"])
     assert "leans on p0" in forbidden(machines, ["p0", "n1"])
-    assert "p1 is away, on which the caches lean" in forbidden(
-        machines | {"p1": machines["p1"]._replace(usable=False)}, ["n1"])
+    assert "p1 is away, on which the caches lean" in forbidden(machines | {"p1": machines["p1"]._replace(usable=False)}, ["n1"])
     assert "parents" in forbidden(machines, ["p0", "p1"])
     assert forbidden({name: one for name, one in machines.items() if name != "p1"}, ["p0"]) == "no parent would be left"
     assert "bounds.headroom allows" in forbidden(machines, ["p0"], headroom=0.2)
@@ -103,8 +108,15 @@
             machines[f"{zone[0]}{n}"] = Machine(zone, False, chance.choice((5.0, 10.0, 20.0)), chance.uniform(0, 3), chance.uniform(0, 5))
     for n in range(chance.randrange(1, 3)):
         machines[f"p{n}"] = Machine("north", True, 40.0, 5.0, 0.0)
-    bounds = Bounds(chance.choice((0.4, 0.6, 0.8)), chance.choice((0.25, 0.4, 0.7)), chance.choice((0.0, 0.1, 0.5)),
-                    chance.choice((0.6, 0.9)), chance.choice((0.0, 8.0, 15.0)), 1, chance.choice((2, 3, 8)))
+    bounds = Bounds(
+        chance.choice((0.4, 0.6, 0.8)),
+        chance.choice((0.25, 0.4, 0.7)),
+        chance.choice((0.0, 0.1, 0.5)),
+        chance.choice((0.6, 0.9)),
+        chance.choice((0.0, 8.0, 15.0)),
+        1,
+        chance.choice((2, 3, 8)),
+    )
     names = chance.sample(sorted(machines), many)
     units = [Unit(name, frozenset((name,)), float(chance.randrange(1, 5))) for name in names]
     if chance.random() < 0.3 and many > 2:
@@ -126,9 +138,9 @@
             if start + unit.takes >= best[0]:
                 return
             rows = [*placed, (unit.machines, start, start + unit.takes)]
-            if all(not park.forbids(frozenset().union(*(m for m, s, e in rows if s <= t < e)))
-                   for t in {s for _, s, _ in rows}):
+            if all(not park.forbids(frozenset().union(*(m for m, s, e in rows if s <= t < e))) for t in {s for _, s, _ in rows}):
                 place(at + 1, rows)
+
     place(0, [])
     return best[0]
 
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -94,14 +94,19 @@
     until(lambda: len({tuple(fleet.said(n)["register"]["promised"]) for n in range(3)}) == 1, "one ballot")
 
 
-@pytest.mark.parametrize("change, said", [
-    ({"members": {"n1": "127.0.0.1:1 z", "n2": "127.0.0.1:2 z"}}, "fleet.members: n0, this router, is not among them"),
-    ({"folder": "/nowhere/at/all"}, "fleet.folder: /nowhere/at/all"),
-    ({"members": {"n0": "127.0.0.1:1 z"}}, "fleet.members: 1, 2 to 256 wanted"),
-    ({"votes": ["n0", "n7"]}, "fleet.votes[1]: n7, no member"), ({"votes": ["n0"]}, "fleet.votes: 2 or more wanted"),
-    ({"left": ["n1"]}, "fleet.left[0]: n1 votes"),
-    ({"members": {"n0": "127.0.0.1 z", "n1": "127.0.0.1:2 z"}}, "fleet.members.n0:"),
-    ({"members": {"n0": "127.0.0.1:7 z", "n1": "127.0.0.1:7 z"}}, "fleet.members.n1: the address of n0")])
+@pytest.mark.parametrize(
+    "change, said",
+    [
+        ({"members": {"n1": "127.0.0.1:1 z", "n2": "127.0.0.1:2 z"}}, "fleet.members: n0, this router, is not among them"),
+        ({"folder": "/nowhere/at/all"}, "fleet.folder: /nowhere/at/all"),
+        ({"members": {"n0": "127.0.0.1:1 z"}}, "fleet.members: 1, 2 to 256 wanted"),
+        ({"votes": ["n0", "n7"]}, "fleet.votes[1]: n7, no member"),
+        ({"votes": ["n0"]}, "fleet.votes: 2 or more wanted"),
+        ({"left": ["n1"]}, "fleet.left[0]: n1 votes"),
+        ({"members": {"n0": "127.0.0.1 z", "n1": "127.0.0.1:2 z"}}, "fleet.members.n0:"),
+        ({"members": {"n0": "127.0.0.1:7 z", "n1": "127.0.0.1:7 z"}}, "fleet.members.n1: the address of n0"),
+    ],
+)
 def test_a_fleet_that_can_t_be_is_named_at_the_start(run, change, said):
     wishes = {"name": "valley", "members": {"n0": f"{HOST}:{free_port(HOST)} z", "n1": "127.0.0.1:2 z"}} | change
     service = run(Cache(), operators={"fleet": wishes})
--- a/tests/test_fleet_search.py
+++ b/tests/test_fleet_search.py
@@ -63,7 +63,8 @@
             one.tick(self.now, n == self.acting, [words.frozen(work.value(self.documents[self.number(n)]))], frozenset(), True)
             one.applied(one.work.number, {"c0": 0} if one.work.number else {})
             register = agree.blank(n, 3, self.nonces[n])._replace(
-                life=1, decided=agree.Said((1, 0, self.number(n)), words.frozen(work.value(self.documents[self.number(n)]))))
+                life=1, decided=agree.Said((1, 0, self.number(n)), words.frozen(work.value(self.documents[self.number(n)])))
+            )
             self.lines[n] = (one.line(), register)
 
     def pass_time(self):
@@ -93,8 +94,7 @@
 
     def wrong(self):
         """The router may use the machine though it is out."""
-        return self.out_at is not None and not self.paused and "c0" not in self.members[ROUTER].off(self.now) \
-            and self.number(ROUTER) > 0
+        return self.out_at is not None and not self.paused and "c0" not in self.members[ROUTER].off(self.now) and self.number(ROUTER) > 0
 
     def nonce(self, name):
         return self.nonces[int(name[1:])]
@@ -109,17 +109,38 @@
         for n, one in enumerate(self.members):
             line, register = self.lines[n]
             said = line["work"]
-            rows.append((
-                one.work.number, one.holds, max(0, one.listed.until - self.now), said["holds"], said["doubt"], said["count"] > 0,
-                self.age(n, said["count"]), register.decided.mark[2],
-                tuple((m, nonce == self.nonce(m), self.age(m, count)) for m, nonce, count in said.get("grants", ())),
-                tuple(sorted((m, nonce == self.nonce(m), self.age(m, count)) for m, (nonce, count) in one.grants.items())),
-                tuple(sorted((m, rep.holds, rep.doubt, rep.nonce == self.nonce(m), self.age(m, rep.count))
-                             for m, rep in one.reports.items())),
-                one.granted.since and min(self.now - one.granted.since, LENGTH * UNIT + 1),
-                tuple(sorted((m, min(self.now - at, LENGTH * UNIT)) for m, at in one.granted.at.items()))))
-        return (tuple(rows), len(self.documents), self.acting, self.paused, self.pauses, self.restarts, self.changes,
-                self.out_at is None, self.documents[-1].orders)
+            rows.append(
+                (
+                    one.work.number,
+                    one.holds,
+                    max(0, one.listed.until - self.now),
+                    said["holds"],
+                    said["doubt"],
+                    said["count"] > 0,
+                    self.age(n, said["count"]),
+                    register.decided.mark[2],
+                    tuple((m, nonce == self.nonce(m), self.age(m, count)) for m, nonce, count in said.get("grants", ())),
+                    tuple(sorted((m, nonce == self.nonce(m), self.age(m, count)) for m, (nonce, count) in one.grants.items())),
+                    tuple(
+                        sorted(
+                            (m, rep.holds, rep.doubt, rep.nonce == self.nonce(m), self.age(m, rep.count)) for m, rep in one.reports.items()
+                        )
+                    ),
+                    one.granted.since and min(self.now - one.granted.since, LENGTH * UNIT + 1),
+                    tuple(sorted((m, min(self.now - at, LENGTH * UNIT)) for m, at in one.granted.at.items())),
+                )
+            )
+        return (
+            tuple(rows),
+            len(self.documents),
+            self.acting,
+            self.paused,
+            self.pauses,
+            self.restarts,
+            self.changes,
+            self.out_at is None,
+            self.documents[-1].orders,
+        )
 
     def events(self):
         yield "time", lambda s: s.pass_time()
@@ -166,7 +187,11 @@
             for name, event in state.events():
                 fresh = copy.copy(state)
                 fresh.members, fresh.nonces, fresh.lines, fresh.documents = (
-                    [twin(one) for one in state.members], list(state.nonces), list(state.lines), list(state.documents))
+                    [twin(one) for one in state.members],
+                    list(state.nonces),
+                    list(state.lines),
+                    list(state.documents),
+                )
                 event(fresh)
                 if fresh.wrong():
                     return len(seen), (*history, name)
--- a/tests/test_fleet_store.py
+++ b/tests/test_fleet_store.py
@@ -26,10 +26,21 @@
     assert words.register(raw, 3) == register()
 
 
-@pytest.mark.parametrize("change, said", [
-    ({"lives": [1, 1]}, "lives: a list of 3"), ({"member": 3}, "member: below 3"), ({"life": -1}, "life: a whole number"),
-    ({"life": True}, "life"), ({"nonce": 0}, "nonce"), ({"seen": [[1, 0]] * 2}, "seen: a list"), ({"accepted": [1]}, "accepted"),
-    ({"promised": [1 << 63, 0]}, r"promised\[0\]"), ({"founding": [1]}, "founding"), ({"said": [[0, -2, 0], None]}, "said.mark")])
+@pytest.mark.parametrize(
+    "change, said",
+    [
+        ({"lives": [1, 1]}, "lives: a list of 3"),
+        ({"member": 3}, "member: below 3"),
+        ({"life": -1}, "life: a whole number"),
+        ({"life": True}, "life"),
+        ({"nonce": 0}, "nonce"),
+        ({"seen": [[1, 0]] * 2}, "seen: a list"),
+        ({"accepted": [1]}, "accepted"),
+        ({"promised": [1 << 63, 0]}, r"promised\[0\]"),
+        ({"founding": [1]}, "founding"),
+        ({"said": [[0, -2, 0], None]}, "said.mark"),
+    ],
+)
 def test_what_is_no_register_is_named(change, said):
     with pytest.raises(words.BadWord, match=said):
         words.register(json.loads(json.dumps(words.value(register()))) | change, 3)
@@ -68,8 +79,9 @@
     for run, wait in enumerate((0.0, 0.001, 0.003, 0.007, 0.011, 0.02)):
         folder = tmp_path / str(run)
         folder.mkdir()
-        process = subprocess.Popen([sys.executable, "-c", WRITER, str(folder), "20000", here, os.path.dirname(here)],
-                                   stdout=subprocess.PIPE)
+        process = subprocess.Popen(
+            [sys.executable, "-c", WRITER, str(folder), "20000", here, os.path.dirname(here)], stdout=subprocess.PIPE
+        )
         process.stdout.readline()
         time.sleep(wait)
         process.send_signal(signal.SIGKILL)
@@ -101,11 +113,15 @@
     assert store.load() == register(2)
 
 
-@pytest.mark.parametrize("spoil", [
-    lambda path: path.write_bytes(b"no database at all, " * 500),
-    lambda path: path.write_bytes(path.read_bytes()[:5000]),
-    lambda path: change(path, "update register set body = replace(body, 'c1', 'c2')"),
-    lambda path: change(path, "update register set body = '{}', sum = 'x'")])
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda path: path.write_bytes(b"no database at all, " * 500),
+        lambda path: path.write_bytes(path.read_bytes()[:5000]),
+        lambda path: change(path, "update register set body = replace(body, 'c1', 'c2')"),
+        lambda path: change(path, "update register set body = '{}', sum = 'x'"),
+    ],
+)
 def test_a_spoilt_file_counts_as_forgotten_and_is_kept_for_a_look(tmp_path, spoil):
     store = Store(tmp_path, "valley", 1, 3)
     store.keep(register())
--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -185,8 +185,10 @@
     whole(yard)
 
 
-@pytest.mark.parametrize("change, said", [
-    ({"state": "gone"}, "gone from the board while out"), ({"where": "h:77"}, "back at another address: h:77"), ({}, "overdue")])
+@pytest.mark.parametrize(
+    "change, said",
+    [({"state": "gone"}, "gone from the board while out"), ({"where": "h:77"}, "back at another address: h:77"), ({}, "overdue")],
+)
 def test_one_that_does_not_come_back_as_it_was_counts_as_out_and_the_operator_is_told(change, said):
     yard = begun(3, 13, bounds=plan.Bounds(zone=0.2, all=0.2))
     yard.ask(0, "c0", needs=5.0)
@@ -430,6 +432,7 @@
     find this planted; without the look at such words r1 would use c0 by its lease while that is decided."""
     order = work.Order("a", "r0", "c0", 3.0, 0.0, (), work.OUT, 6, 100, 3, 5)
     from fieldspur.fleet import words
+
     may_be = words.frozen(work.value(work.Work(6, (order,))))
     made = foreman.Foreman(["r0", "r1", "r2"], "r0", "east", LENGTH, plan.Bounds(), False, LONGEST, SECOND)
     made.holds = 3
@@ -467,16 +470,29 @@
     order = work.Order("a", "r1", "c1", 3.0, 0.0, ("c2",), work.FREE, 7, 100, 3, 5, 0, "h:1", "overdue")
     found = work.Work(9, (order,), (work.Ended("b", "c9", work.REFUSED, "why", 4),))
     from fieldspur.fleet import words
+
     assert work.read(words.frozen(work.value(found))) == found and found.least() == 5
     for bad in (3, "x", ("x", (), ()), (1, (("a",),), ()), (1, ((*order[:6], "away", *order[7:]),), ()), (1, 2, 3), (1, {}, ())):
         with pytest.raises(work.BadOrder):
             work.read(bad)
 
 
-@pytest.mark.parametrize("change, said", [
-    ({"holds": -1}, "holds"), ({"open": []}, "open"), ({"loads": {"c": [1, -1, 0, 0]}, "rest": [[0, 0, 0, 0]] * 2}, "loads"), ({"loads": {}, "rest": 3}, "rest"), ({"asks": [["add"]]}, "asks"),
-    ({"asks": [["add", "a", "c1", 0.0, 0.0, [], False]]}, "needs_s"), ({"turned": [1]}, "turned"), ({"strict": 1}, "strict"),
-    ({"grants": [[1, 2]]}, "grants"), ({"zone": None}, "zone"), ({"asks": [["add", "a", "c" * 99, 1.0, 0.0, [], False]]}, "machine")])
+@pytest.mark.parametrize(
+    "change, said",
+    [
+        ({"holds": -1}, "holds"),
+        ({"open": []}, "open"),
+        ({"loads": {"c": [1, -1, 0, 0]}, "rest": [[0, 0, 0, 0]] * 2}, "loads"),
+        ({"loads": {}, "rest": 3}, "rest"),
+        ({"asks": [["add"]]}, "asks"),
+        ({"asks": [["add", "a", "c1", 0.0, 0.0, [], False]]}, "needs_s"),
+        ({"turned": [1]}, "turned"),
+        ({"strict": 1}, "strict"),
+        ({"grants": [[1, 2]]}, "grants"),
+        ({"zone": None}, "zone"),
+        ({"asks": [["add", "a", "c" * 99, 1.0, 0.0, [], False]]}, "machine"),
+    ],
+)
 def test_a_line_whose_word_on_work_is_none_changes_nothing(change, said):
     yard = begun(3, 1)
     line = yard.nodes[1].line()
@@ -489,16 +505,21 @@
 FLEET = '{"fleet": {"name": "v", "members": {"a": "127.0.0.1:1 z", "b": "127.0.0.1:2 z"}, "work": %s}}'
 
 
-@pytest.mark.parametrize("rows, said", [
-    ('[{"needs_s": 1}]', "fleet.work[0].machine: missing"),
-    ('[{"machine": "c1"}]', "fleet.work[0].needs_s: 0 is not within"),
-    ('[{"machine": "c1", "needs_s": "long"}]', "fleet.work[0].needs_s: of another kind"),
-    ('[{"machine": "c1", "needs_s": true}]', "fleet.work[0].needs_s: of another kind"),
-    ('[{"machine": "c1", "needs_s": 1, "until": 3}]', "fleet.work[0].until: no such key"),
-    ('[{"machine": "c1", "needs_s": 1, "with": ["c1"]}]', "fleet.work[0].with: c1 itself"),
-    ('[{"machine": "c1", "needs_s": 1}, {"machine": "c1", "needs_s": 2}]', "fleet.work[1].machine: c1 is asked for"),
-    ('[{"machine": "c1", "needs_s": 1, "id": "x"}, {"machine": "c2", "needs_s": 2, "id": "x"}]', "the order x twice"),
-    ('[{"machine": "", "needs_s": 1}]', "fleet.work[0].machine: a name"), ('{"machine": "c1"}', "fleet.work")])
+@pytest.mark.parametrize(
+    "rows, said",
+    [
+        ('[{"needs_s": 1}]', "fleet.work[0].machine: missing"),
+        ('[{"machine": "c1"}]', "fleet.work[0].needs_s: 0 is not within"),
+        ('[{"machine": "c1", "needs_s": "long"}]', "fleet.work[0].needs_s: of another kind"),
+        ('[{"machine": "c1", "needs_s": true}]', "fleet.work[0].needs_s: of another kind"),
+        ('[{"machine": "c1", "needs_s": 1, "until": 3}]', "fleet.work[0].until: no such key"),
+        ('[{"machine": "c1", "needs_s": 1, "with": ["c1"]}]', "fleet.work[0].with: c1 itself"),
+        ('[{"machine": "c1", "needs_s": 1}, {"machine": "c1", "needs_s": 2}]', "fleet.work[1].machine: c1 is asked for"),
+        ('[{"machine": "c1", "needs_s": 1, "id": "x"}, {"machine": "c2", "needs_s": 2, "id": "x"}]', "the order x twice"),
+        ('[{"machine": "", "needs_s": 1}]', "fleet.work[0].machine: a name"),
+        ('{"machine": "c1"}', "fleet.work"),
+    ],
+)
 def test_a_wish_that_can_t_be_is_named_by_its_key(rows, said):
     with pytest.raises(BadFile) as wrong:
         parse((FLEET % rows).encode())
--- a/tests/test_fleet_work_processes.py
+++ b/tests/test_fleet_work_processes.py
@@ -67,6 +67,7 @@
         made.append(Crowd(fleet))
         time.sleep(1.5)
         return fleet, made[-1]
+
     yield make
     for crowd in made:
         crowd.end()
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -248,12 +248,20 @@
     assert [h["max_age"] for h in day.hops(0)] == [0, 11 * SECOND]
 
 
-@pytest.mark.parametrize("text", [
-    "commit\n", "sync nowUs=x frame=1\ncommit\n", "sync frame=1\n", "sync nowUs=1 frame=1\n",
-    "sync nowUs=1 frame=1\n=3\ncommit\n",
-    "sync nowUs=1 frame=1\ntarget_instance router=a\ntimer label=1\ncommit\n",
-    "sync nowUs=1 frame=1\ntarget_instance router=a\nenlist rngSeed=1 conf={\ncommit\n",
-    "sync nowUs=1 frame=1\nsync nowUs=2 frame=2\n", "sync nowUs=1 frame=1\ncommit oops\n"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "commit\n",
+        "sync nowUs=x frame=1\ncommit\n",
+        "sync frame=1\n",
+        "sync nowUs=1 frame=1\n",
+        "sync nowUs=1 frame=1\n=3\ncommit\n",
+        "sync nowUs=1 frame=1\ntarget_instance router=a\ntimer label=1\ncommit\n",
+        "sync nowUs=1 frame=1\ntarget_instance router=a\nenlist rngSeed=1 conf={\ncommit\n",
+        "sync nowUs=1 frame=1\nsync nowUs=2 frame=2\n",
+        "sync nowUs=1 frame=1\ncommit oops\n",
+    ],
+)
 def test_bad_input_is_named_and_gets_no_half_reply(text):
     sink = io.StringIO()
     with pytest.raises(BadInput, match="line|batch"):
@@ -321,8 +329,7 @@
         day.arrive(ident, obj=f"o{ident}", kb=10.0)
         if day.txns[ident]["final"] is None:
             late = 100 * MS if ident < 60 else 900 * MS
-            day.end(ident, *(("completed", FILLED_BY_ORIGIN) if day.hops(ident)[-1]["fetch"]
-                             else ("missing", 8)), waited=late)
+            day.end(ident, *(("completed", FILLED_BY_ORIGIN) if day.hops(ident)[-1]["fetch"] else ("missing", 8)), waited=late)
     asked = [any(h["fetch"] for h in day.hops(i)) for i in range(160)]
     assert all(asked[:60]) and 0 < sum(asked[80:]) < 50
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -21,25 +21,39 @@
 from fieldspur.lab.plays import far, play, scenario
 
 SMALL = {
-    "about": "each rule has its occasion", "seed": 5, "seconds": 7, "warm": 0.5, "routers": 1,
+    "about": "each rule has its occasion",
+    "seed": 5,
+    "seconds": 7,
+    "warm": 0.5,
+    "routers": 1,
     "servers": {"caches": 4, "parents": 1, "rating": 6, "ramp_s": 8, "cold_share": 0.1},
-    "load": {"connections": 6, "classes": [
-        {"rule": "pages", "rate": 100, "kb": 300, "objects": 12, "once": 0.3, "tries": 1},
-        {"rule": "checkout", "rate": 8, "kb": 4}, {"rule": "ledger", "rate": 12, "kb": 4}]},
-    "faults": [{"at": 0.8, "what": "errors", "who": "caches", "times": 30, "lasts": 1.5},
-               {"at": 1.2, "what": "drain", "who": "cache-1", "lasts": 3},
-               {"at": 2, "what": "restart", "who": "cache-2"}, {"at": 2.2, "what": "restart", "who": "cache-3"},
-               {"at": 3, "what": "purge"}]}
+    "load": {
+        "connections": 6,
+        "classes": [
+            {"rule": "pages", "rate": 100, "kb": 300, "objects": 12, "once": 0.3, "tries": 1},
+            {"rule": "checkout", "rate": 8, "kb": 4},
+            {"rule": "ledger", "rate": 12, "kb": 4},
+        ],
+    },
+    "faults": [
+        {"at": 0.8, "what": "errors", "who": "caches", "times": 30, "lasts": 1.5},
+        {"at": 1.2, "what": "drain", "who": "cache-1", "lasts": 3},
+        {"at": 2, "what": "restart", "who": "cache-2"},
+        {"at": 2.2, "what": "restart", "who": "cache-3"},
+        {"at": 3, "what": "purge"},
+    ],
+}
 SABOTAGE = {
     1: "from fieldspur.net.relay import Outlet\nput = Outlet.put\n"
-       "Outlet.put = lambda self, data: (put(self, data), data[0][4:5] == b'B' and put(self, data))\n",
+    "Outlet.put = lambda self, data: (put(self, data), data[0][4:5] == b'B' and put(self, data))\n",
     2: "from fieldspur.decide import Router\nRouter.may_send = lambda *about: True\n",
     3: "from fieldspur.net.route import Route\nfrom fieldspur.record import replace\nold = Route.list_told\n"
-       "Route.list_told = lambda self, change, now=False: old(self, replace(change, servers=tuple(\n"
-       "    replace(s, state='up') for s in change.servers)), now)\n",
+    "Route.list_told = lambda self, change, now=False: old(self, replace(change, servers=tuple(\n"
+    "    replace(s, state='up') for s in change.servers)), now)\n",
     4: "from fieldspur.decide import Fleet\nFleet.has_room = lambda *about: True\nFleet.is_cold = lambda *about: False\n"
-       "Fleet.seen = lambda *about: 0.0\nFleet.all_over = lambda *about: 0.0\n",
-    5: "from fieldspur.decide import Purges\nPurges.note = lambda *about: None\n"}
+    "Fleet.seen = lambda *about: 0.0\nFleet.all_over = lambda *about: 0.0\n",
+    5: "from fieldspur.decide import Purges\nPurges.note = lambda *about: None\n",
+}
 
 
 def small(**more):
@@ -52,8 +66,9 @@
     whole = play.play(small())
     start = "import sys\nfrom fieldspur.__main__ import main\nsys.exit(main())\n"
     with ThreadPoolExecutor(5) as pool:
-        broken = dict(zip(SABOTAGE, pool.map(
-            lambda code: play.play(small(), command=[sys.executable, "-O", "-c", code + start]), SABOTAGE.values())))
+        broken = dict(
+            zip(SABOTAGE, pool.map(lambda code: play.play(small(), command=[sys.executable, "-O", "-c", code + start]), SABOTAGE.values()))
+        )
     return whole, broken
 
 
@@ -82,6 +97,7 @@
 
 # The checker by itself.
 
+
 def one(ident="a", kind="repeatable", sent=0, limit=SECOND, key=None):
     return Try(ident, kind, "o" * 16, 0, 7, key, sent, sent + limit)
 
@@ -115,10 +131,19 @@
     assert len(checker.violations[1]) == 1
 
 
-@pytest.mark.parametrize("kind, first, after, broke", [
-    ("unrepeatable", "EIO", 0, True), ("unrepeatable", "", 0, True), ("unrepeatable", "AGAIN", 0, False),
-    ("unrepeatable", "NOENT", 0, False), ("keyed", "EIO", 5 * SECOND, False), ("keyed", "EIO", 7 * SECOND, True),
-    ("keyed", "AGAIN", 7 * SECOND, False), ("repeatable", "EIO", 9 * SECOND, False)])
+@pytest.mark.parametrize(
+    "kind, first, after, broke",
+    [
+        ("unrepeatable", "EIO", 0, True),
+        ("unrepeatable", "", 0, True),
+        ("unrepeatable", "AGAIN", 0, False),
+        ("unrepeatable", "NOENT", 0, False),
+        ("keyed", "EIO", 5 * SECOND, False),
+        ("keyed", "EIO", 7 * SECOND, True),
+        ("keyed", "AGAIN", 7 * SECOND, False),
+        ("repeatable", "EIO", 9 * SECOND, False),
+    ],
+)
 def test_a_further_hop_breaks_the_second_rule_only_where_an_effect_may_happen_twice(kind, first, after, broke):
     checker = Checker(2.5)
     checker.sent("c", 1, one(kind=kind, limit=20 * SECOND))
@@ -162,9 +187,16 @@
     assert checker.violations[4]
 
 
-@pytest.mark.parametrize("issued, sent, group, broke", [
-    (900 * MS, 2 * SECOND, 7, True), (900 * MS, 1_300 * MS, 7, False), (1_100 * MS, 2 * SECOND, 7, False),
-    (900 * MS, 2 * SECOND, 8, False), (900 * MS, 2 * SECOND, -1, True)])
+@pytest.mark.parametrize(
+    "issued, sent, group, broke",
+    [
+        (900 * MS, 2 * SECOND, 7, True),
+        (900 * MS, 1_300 * MS, 7, False),
+        (1_100 * MS, 2 * SECOND, 7, False),
+        (900 * MS, 2 * SECOND, 8, False),
+        (900 * MS, 2 * SECOND, -1, True),
+    ],
+)
 def test_an_old_copy_breaks_the_fifth_rule_after_the_grace(issued, sent, group, broke):
     checker = Checker(2.5)
     checker.purged(None, group, SECOND, SECOND)
@@ -175,6 +207,7 @@
 
 # The model of servers, in a clock of its own.
 
+
 def server(clock, rating=2.0, **more):
     plan = scenario.Servers(**more)
     made = model.Server(clock, "s", "std", rating, 1000.0, 1000.0, plan)
@@ -184,8 +217,23 @@
 
 def ask(made, obj="a", kb=100.0, source="store", join=True, rank=2, key=None, kept=True, ident="x", ended=None):
     ended = [] if ended is None else ended
-    made.ask(model.Asked("pages", obj, 0, kb, key, made.store if source == "store" else source, rank, 0, join, True, kept,
-                         lambda *about: ended.append((made.clock.now(), *about)), ident))
+    made.ask(
+        model.Asked(
+            "pages",
+            obj,
+            0,
+            kb,
+            key,
+            made.store if source == "store" else source,
+            rank,
+            0,
+            join,
+            True,
+            kept,
+            lambda *about: ended.append((made.clock.now(), *about)),
+            ident,
+        )
+    )
     return ended
 
 
@@ -210,8 +258,9 @@
     made.keep("aa", 0, model.Copy(0, 100.0, 2))
     first, ended = [], []
     for n in range(3):
-        first.append(model.Asked("pages", "aa", 0, 100.0, None, None, 2, 0, False, True, True,
-                                 lambda *about: ended.append(clock.now() // MS)))
+        first.append(
+            model.Asked("pages", "aa", 0, 100.0, None, None, 2, 0, False, True, True, lambda *about: ended.append(clock.now() // MS))
+        )
         made.ask(first[-1])
     clock.run(50 * MS)
     first[0].give_up()
@@ -268,6 +317,7 @@
 
 # Plans, bodies, files.
 
+
 def test_the_same_seed_makes_the_same_plan_and_another_one_another():
     def draws(seed):
         row = scenario.Class(rule="pages", rate=50.0)
@@ -291,8 +341,11 @@
 
 
 def test_large_size_is_spread_over_locations():
-    plan = small(seconds=3, far={"routers": 12, "caches": 24, "zones": 3, "parents": 3}, faults=[
-        {"at": 1, "what": "die", "who": "caches", "share": 0.33, "lasts": 1}, {"at": 1.5, "what": "purge"}])
+    plan = small(
+        seconds=3,
+        far={"routers": 12, "caches": 24, "zones": 3, "parents": 3},
+        faults=[{"at": 1, "what": "die", "who": "caches", "share": 0.33, "lasts": 1}, {"at": 1.5, "what": "purge"}],
+    )
     found = far.play(plan)
     assert found["passed"] and found["size"]["caches"] == 24 and found["completed"] > 0.8, found["missed"]
 
@@ -312,12 +365,20 @@
         wire.read_body(data, "7f3a9c21e0b4d655", 4)
 
 
-@pytest.mark.parametrize("change, said", [
-    ({"sead": 1}, "sead"), ({"routers": 0}, "routers"), ({"seconds": "x"}, "seconds"),
-    ({"load": {"classes": []}}, "load.classes"), ({"load": {"classes": [{"rule": "spoons", "rate": 1}]}}, r"load.classes\[0\].rule"),
-    ({"load": {"classes": [{"rule": "pages", "rate": 0}]}}, r"load.classes\[0\]"),
-    ({"faults": [{"at": 99, "what": "die"}]}, r"faults\[0\].at"), ({"faults": [{"at": 1, "what": "burn"}]}, "faults"),
-    ({"faults": [{"at": 1, "what": "die", "share": 0}]}, r"faults\[0\].share")])
+@pytest.mark.parametrize(
+    "change, said",
+    [
+        ({"sead": 1}, "sead"),
+        ({"routers": 0}, "routers"),
+        ({"seconds": "x"}, "seconds"),
+        ({"load": {"classes": []}}, "load.classes"),
+        ({"load": {"classes": [{"rule": "spoons", "rate": 1}]}}, r"load.classes\[0\].rule"),
+        ({"load": {"classes": [{"rule": "pages", "rate": 0}]}}, r"load.classes\[0\]"),
+        ({"faults": [{"at": 99, "what": "die"}]}, r"faults\[0\].at"),
+        ({"faults": [{"at": 1, "what": "burn"}]}, "faults"),
+        ({"faults": [{"at": 1, "what": "die", "share": 0}]}, r"faults\[0\].share"),
+    ],
+)
 def test_a_faulty_scenario_is_named(change, said):
     with pytest.raises(operators.BadFile, match=said):
         small(**change)
@@ -332,11 +393,20 @@
 
 # Files of operators and the command line.
 
-@pytest.mark.parametrize("text, said", [
-    ('{"log": {"levl": "info"}}', "log.levl: no such key"), ('{"log": {"level": "loud"}}', "log.level"),
-    ('{"memory": {"answers": 0.5, "bodies": 0.4}}', "memory: answers"), ('{"counts": {"every_s": 0}}', "counts.every_s: 0 is"),
-    ('{"memory": {"answers": "x"}}', "memory.answers"), ("[1]", "the file"), ("{", "the file: not JSON"),
-    ('{"memory": {"answers": 1e999}}', "memory.answers: inf")])
+
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ('{"log": {"levl": "info"}}', "log.levl: no such key"),
+        ('{"log": {"level": "loud"}}', "log.level"),
+        ('{"memory": {"answers": 0.5, "bodies": 0.4}}', "memory: answers"),
+        ('{"counts": {"every_s": 0}}', "counts.every_s: 0 is"),
+        ('{"memory": {"answers": "x"}}', "memory.answers"),
+        ("[1]", "the file"),
+        ("{", "the file: not JSON"),
+        ('{"memory": {"answers": 1e999}}', "memory.answers: inf"),
+    ],
+)
 def test_a_faulty_key_of_the_operators_file_is_named(text, said, tmp_path):
     with pytest.raises(operators.BadFile, match=said):
         operators.parse(text.encode())
@@ -400,12 +470,26 @@
 
 def test_restarts_and_moves_under_load_with_slow_and_bad_clients_lose_nothing():
     """SIGTERM and SIGHUP while answers of 100 KB wait for clients that read 4 KB a second."""
-    plan = small(seconds=6, routers=2, load=SMALL["load"] | {
-        "bad_clients": 8, "slow_clients": 2, "classes": [
-            {"rule": "pages", "rate": 60, "kb": 250, "objects": 30, "bytes_a_kb": 400}, SMALL["load"]["classes"][1],
-            SMALL["load"]["classes"][2]]}, faults=[
-        {"at": 1.5, "what": "router_restart", "who": "0"}, {"at": 2.5, "what": "reload"},
-        {"at": 3.2, "what": "drain", "who": "cache-1"}, {"at": 4, "what": "board_break"}])
+    plan = small(
+        seconds=6,
+        routers=2,
+        load=SMALL["load"]
+        | {
+            "bad_clients": 8,
+            "slow_clients": 2,
+            "classes": [
+                {"rule": "pages", "rate": 60, "kb": 250, "objects": 30, "bytes_a_kb": 400},
+                SMALL["load"]["classes"][1],
+                SMALL["load"]["classes"][2],
+            ],
+        },
+        faults=[
+            {"at": 1.5, "what": "router_restart", "who": "0"},
+            {"at": 2.5, "what": "reload"},
+            {"at": 3.2, "what": "drain", "who": "cache-1"},
+            {"at": 4, "what": "board_break"},
+        ],
+    )
     found = play.play(plan)
     assert found["passed"], found["missed"]
     assert found["completed"] > 0.8 and found["bad_clients"]["sent"] > 10 and not found["bad_clients"]["no_end"]
@@ -431,8 +515,7 @@
     loop.clock = 9 * SECOND
     conn.pause(False)
     conn.read(1000)
-    assert [conn.first(at) for at in (0, 99, 100, 149, 150, 151)] == [SECOND, SECOND, 2 * SECOND, 2 * SECOND, 3 * SECOND,
-                                                                    9 * SECOND]
+    assert [conn.first(at) for at in (0, 99, 100, 149, 150, 151)] == [SECOND, SECOND, 2 * SECOND, 2 * SECOND, 3 * SECOND, 9 * SECOND]
     client.close()
 
 
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -18,29 +18,47 @@
 from fieldspur.operators import BadFile
 
 SMALL = {
-    "about": "two machines, who acts is killed", "seed": 4, "seconds": 14, "warm": 2, "routers": 3,
+    "about": "two machines, who acts is killed",
+    "seed": 4,
+    "seconds": 14,
+    "warm": 2,
+    "routers": 3,
     "servers": {"caches": 6, "parents": 1, "rating": 12, "ramp_s": 1},
-    "load": {"connections": 4, "classes": [{"rule": "pages", "rate": 60, "kb": 400, "objects": 60, "once": 0.0, "tries": 2},
-                                           {"rule": "checkout", "rate": 6, "kb": 4}]},
+    "load": {
+        "connections": 4,
+        "classes": [
+            {"rule": "pages", "rate": 60, "kb": 400, "objects": 60, "once": 0.0, "tries": 2},
+            {"rule": "checkout", "rate": 6, "kb": 4},
+        ],
+    },
     "faults": [{"at": 5.2, "what": "router_kill", "who": "acting", "lasts": 1, "forget": True}],
-    "fleet": {"lease_s": 1.0, "bounds": {"zone": 0.25, "all": 0.25, "both": 0.0}, "work": [
-        {"at": 4, "machine": "cache-1", "needs_s": 1.0}, {"at": 4, "machine": "cache-2", "needs_s": 1.0, "router": 1}]},
-    "expect": {"completed": 0.8, "orders": 0.5}}
+    "fleet": {
+        "lease_s": 1.0,
+        "bounds": {"zone": 0.25, "all": 0.25, "both": 0.0},
+        "work": [{"at": 4, "machine": "cache-1", "needs_s": 1.0}, {"at": 4, "machine": "cache-2", "needs_s": 1.0, "router": 1}],
+    },
+    "expect": {"completed": 0.8, "orders": 0.5},
+}
 SABOTAGE = {
     "it uses what is out": "from fieldspur.fleet.overlay import Overlay\nOverlay.shown = lambda self, row: row\n"
-                           "Overlay.doubted = lambda self, doubt: None\n",
+    "Overlay.doubted = lambda self, doubt: None\n",
     "free too early": "from fieldspur.fleet.foreman import Foreman\nForeman.open_at = lambda *about: []\n",
     "no bounds": "from fieldspur.fleet.plan import Park\nPark.forbids = lambda *about: ''\n",
     "two documents": "from fieldspur.fleet.node import Node\nline = Node.line\n"
-                     "def other(self):\n    found = line(self)\n    value = found['register']['decided'][1]\n"
-                     "    if value and not self.foreman.acting:\n"
-                     "        found['register']['decided'][1] = (value[0], tuple((*o[:-1], 'mine') for o in value[1]), value[2])\n"
-                     "    return found\nNode.line = other\n"}
+    "def other(self):\n    found = line(self)\n    value = found['register']['decided'][1]\n"
+    "    if value and not self.foreman.acting:\n"
+    "        found['register']['decided'][1] = (value[0], tuple((*o[:-1], 'mine') for o in value[1]), value[2])\n"
+    "    return found\nNode.line = other\n",
+}
 # So that something is open at each cache at any moment, and no later than what routers take as usual: of 400 ms they turned a twentieth
 # away, and a location that turns txns away lends no machine, so that orders waited to the end on a slow machine and nothing was found.
 LATE = [{"at": 3, "what": "late", "who": "caches", "times": 200}]
-FOUND = {"it uses what is out": "rule 3", "free too early": "was said to be free", "no bounds": "machines away",
-         "two documents": "is not the same at member"}
+FOUND = {
+    "it uses what is out": "rule 3",
+    "free too early": "was said to be free",
+    "no bounds": "machines away",
+    "two documents": "is not the same at member",
+}
 
 
 def small(**more):
@@ -52,8 +70,12 @@
     start = "import sys\nfrom fieldspur.__main__ import main\nsys.exit(main())\n"
     whole = play.play(small())
     with ThreadPoolExecutor(2) as pool:
-        broken = dict(zip(SABOTAGE, pool.map(
-            lambda code: play.play(small(faults=LATE), command=[sys.executable, "-O", "-c", code + start]), SABOTAGE.values())))
+        broken = dict(
+            zip(
+                SABOTAGE,
+                pool.map(lambda code: play.play(small(faults=LATE), command=[sys.executable, "-O", "-c", code + start]), SABOTAGE.values()),
+            )
+        )
     return whole, broken
 
 
@@ -109,6 +131,7 @@
     def serve(conn):
         conn.on_data = lambda held: (conn.write(b"one\ntwo\nthr"), held.clear())
         loop.later(40_000_000, lambda: conn.write(b"ee\n"))
+
     server = loop.listen(serve)
     relay = Relay(loop, ("127.0.0.1", server.getsockname()[1]), random.Random(1))
 
@@ -123,6 +146,7 @@
 
     def stop():
         loop.stopped = True
+
     read()
     after(100, lambda: (relay.stalls(True), read()))
     after(200, lambda: (heard.append("stalled"), relay.stalls(False)))
@@ -142,10 +166,15 @@
     assert "lossy" not in parts
 
 
-@pytest.mark.parametrize("change, said", [
-    ({"routers": 1}, "routers: a fleet has 2 or more"),
-    ({"fleet": {"work": [{"at": 99, "machine": "c", "needs_s": 1}]}}, "fleet.work[0]"),
-    ({"fleet": {"way": "alone"}}, "fleet.way"), ({"fleet": {"works": []}}, "fleet")])
+@pytest.mark.parametrize(
+    "change, said",
+    [
+        ({"routers": 1}, "routers: a fleet has 2 or more"),
+        ({"fleet": {"work": [{"at": 99, "machine": "c", "needs_s": 1}]}}, "fleet.work[0]"),
+        ({"fleet": {"way": "alone"}}, "fleet.way"),
+        ({"fleet": {"works": []}}, "fleet"),
+    ],
+)
 def test_a_scenario_of_a_fleet_that_can_t_be_is_named(change, said):
     with pytest.raises(BadFile) as wrong:
         small(**change)
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -104,7 +104,7 @@
         if at - began < ramp:
             budget = multiple * rating * (cold + (1 - cold) * max(0.0, at - span - began) / ramp) * span / (KB / 2800.0)
             calls = n + 1 - first
-            worst = max(worst, (calls - budget - 2 * budget ** 0.5 - 2, calls, budget))
+            worst = max(worst, (calls - budget - 2 * budget**0.5 - 2, calls, budget))
     return worst
 
 
@@ -156,6 +156,7 @@
         def ready(service):
             service.client()
             took.append(time.monotonic() - began)
+
         threads = [threading.Thread(target=ready, args=(service,), daemon=True) for service in services]
         for thread in threads:
             thread.start()
@@ -171,8 +172,10 @@
     """Names of classes, what may be repeated, limits of time, tries and times to come back: none stands in the program."""
     caches = [[Cache(lambda want: ("EIO", "-", b"")) for _ in range(4)] for _ in range(2)]
     first, second = settings(), settings()
-    second["classes"] = [dict(name="stamps", repeat="at_most_once", worth=9.0, lateWorth=0.0, aimUs=100_000, hardLimitUs=400_000),
-                         dict(name="media", repeat="deduplicated", memorySpanUs=900_000, worth=1.0, lateWorth=0.5, aimUs=50_000, hardLimitUs=700_000)]
+    second["classes"] = [
+        dict(name="stamps", repeat="at_most_once", worth=9.0, lateWorth=0.0, aimUs=100_000, hardLimitUs=400_000),
+        dict(name="media", repeat="deduplicated", memorySpanUs=900_000, worth=1.0, lateWorth=0.5, aimUs=50_000, hardLimitUs=700_000),
+    ]
     second["familyInfo"] |= {"neverKept": [True, True]}
     second["allowed"] |= {"maxRetryAfterUs": 40_000, "sendCap": 2}
     services = []
--- a/tests/test_mass_crash.py
+++ b/tests/test_mass_crash.py
@@ -57,6 +57,7 @@
     def removed():
         removal.start()
         until(lambda: "c0" not in send.servers)
+
     send.lock = LetsIn(send.lock, removed)
     lane = send.hop(attempt)
     if lane is not None:
@@ -124,8 +125,10 @@
 
 def test_counts_by_reason_are_exact_and_can_be_read_while_others_count():
     counter, counted = ReasonCounter(CloseReason), 20_000
-    threads = [threading.Thread(target=lambda reason=reason: [counter.add(reason) for _ in range(counted)])
-               for reason in (CloseReason.IDLE, CloseReason.IDLE, CloseReason.DESCRIPTORS)]
+    threads = [
+        threading.Thread(target=lambda reason=reason: [counter.add(reason) for _ in range(counted)])
+        for reason in (CloseReason.IDLE, CloseReason.IDLE, CloseReason.DESCRIPTORS)
+    ]
     for thread in threads:
         thread.start()
     while any(thread.is_alive() for thread in threads):
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -38,6 +38,7 @@
 
 # Parts.
 
+
 @tries(deadline=None, derandomize=True)
 @given(st.lists(st.tuples(st.sampled_from("aacd"), st.integers(0, 40 << SHIFT)), max_size=60))
 def test_a_wheel_gives_what_a_sorted_list_gives(steps):
@@ -68,13 +69,13 @@
         room = window.room()
         assert len(room)
         size = min(len(room), len(sent) - at, chance.randint(1, 5000))
-        room[:size] = sent[at:at + size]
+        room[:size] = sent[at : at + size]
         window.end, at = window.end + size, at + size
         while done < len(sizes):
             window.whole = sizes[done]
             if window.end - window.start < sizes[done]:
                 break
-            assert window.buf[window.start:window.start + sizes[done]] == bytes([done % 251]) * sizes[done]
+            assert window.buf[window.start : window.start + sizes[done]] == bytes([done % 251]) * sizes[done]
             window.start, window.whole, done = window.start + sizes[done], 0, done + 1
     before = window.room().obj
     if eager:
@@ -82,18 +83,24 @@
 
 
 FIELD = st.sampled_from(["verb", "txn", "limit", "unique", "item", "slice", "set", "ram", "seen", "odd"])
-VALUE = st.one_of(st.from_regex(r"[0-9a-f]{16}", fullmatch=True), st.from_regex(r"[0-9]{1,12}", fullmatch=True),
-                  st.from_regex(r"[!-~]{0,12}", fullmatch=True), st.from_regex(r"[0-9]{1,4}\.[0-9]{0,3}", fullmatch=True))
+VALUE = st.one_of(
+    st.from_regex(r"[0-9a-f]{16}", fullmatch=True),
+    st.from_regex(r"[0-9]{1,12}", fullmatch=True),
+    st.from_regex(r"[!-~]{0,12}", fullmatch=True),
+    st.from_regex(r"[0-9]{1,4}\.[0-9]{0,3}", fullmatch=True),
+)
 GOOD = [("verb", "media"), ("txn", "9b1f03aa5c7e2d41"), ("limit", "1500"), ("item", "7f3a9c21e0b4d655"), ("set", "17")]
 
 
 @tries(deadline=None, derandomize=True, max_examples=300)
-@given(st.lists(st.tuples(FIELD, VALUE), max_size=4), st.integers(0, 5), st.booleans(), st.binary(max_size=20),
-       st.integers(-1, 1))
+@given(st.lists(st.tuples(FIELD, VALUE), max_size=4), st.integers(0, 5), st.booleans(), st.binary(max_size=20), st.integers(-1, 1))
 def test_a_request_read_by_one_match_is_what_field_by_field_makes_of_it(extra, where, ordered, body, off):
     rows = GOOD[:where] + extra + GOOD[where:] if not ordered else GOOD[:4] + [("slice", "3"), GOOD[4], ("ram", "4.5")]
-    payload = bytes([max(0, len(rows) + off * (not ordered))]) + b"".join(
-        bytes([len(k)]) + k.encode() + len(v).to_bytes(2, "big") + v.encode() for k, v in rows) + body
+    payload = (
+        bytes([max(0, len(rows) + off * (not ordered))])
+        + b"".join(bytes([len(k)]) + k.encode() + len(v).to_bytes(2, "big") + v.encode() for k, v in rows)
+        + body
+    )
     quick = frames.usual(5, bytearray(payload), 0, len(payload))
     if quick is not None:
         assert quick == frames.request(5, payload)
@@ -109,7 +116,7 @@
     while at < len(data):
         room = decoder.window.room()
         size = min(len(room), reads[len(found) % len(reads)], len(data) - at)
-        room[:size] = data[at:at + size]
+        room[:size] = data[at : at + size]
         at += size
         found += [(reply.ident, bytes(reply.body)) for reply in decoder.filled(size)]
     assert found == [("%016x" % n, body) for n, body in enumerate(bodies)] and not decoder.within()
@@ -139,6 +146,7 @@
 
 # One connection to a server.
 
+
 def want(name, body=b""):
     return resp.Want(name, "media", "0" * 16, 0, 3000, None, None, 0, 0, False, False, True, None, body)
 
@@ -252,19 +260,21 @@
     Outlet.uncork, decoder = look, resp.Decoder()
     try:
         room = decoder.window.room()
-        room[:len(data)] = data
+        room[: len(data)] = data
         lane.replies(decoder, len(data))
     finally:
         Outlet.uncork = put
     assert seen == [(3, False, False)] * 2 and send.relay.done() and len(send.route.posted) == 6
     for n, (_, there) in enumerate(pairs):
         there.setblocking(False)
-        assert there.recv(4000) == b"".join(b"".join(encode(s, Answer("completed", body=b"body-%d" % (s - 1))))
-                                            for s in (n + 1, n + 3, n + 5))
+        assert there.recv(4000) == b"".join(
+            b"".join(encode(s, Answer("completed", body=b"body-%d" % (s - 1)))) for s in (n + 1, n + 3, n + 5)
+        )
 
 
 # One caller in the Router.
 
+
 def plain_route():
     site = deployment(settings())
     return Route(site, 1, Book(), Relay(1 << 20), Send(site, Book(), Relay(1 << 20), 4))
@@ -364,15 +374,29 @@
             elif what == "broken":
                 send.ended(hop, "broken")
             else:
-                send.answered(hop, resp.Reply(hop.name, "completed" if what == "good" else "error", False, 1, None, None,
-                                              b"x"), clock())
+                send.answered(hop, resp.Reply(hop.name, "completed" if what == "good" else "error", False, 1, None, None, b"x"), clock())
 
     def arrive(numbers):
         for ident in numbers:
             streams[ident] = ident
             at = clock()
-            txn = Txn(ident, f"{ident:016x}", ident % 2, "media", f"{ident % 7:016x}", 0, 1, 1.0, "k", None, b"", at,
-                      at + 60_000 * MS, outlet, ident)
+            txn = Txn(
+                ident,
+                f"{ident:016x}",
+                ident % 2,
+                "media",
+                f"{ident % 7:016x}",
+                0,
+                1,
+                1.0,
+                "k",
+                None,
+                b"",
+                at,
+                at + 60_000 * MS,
+                outlet,
+                ident,
+            )
             book.take(txn)
             route.post(route.arrived, txn)
             end(ident)
@@ -452,30 +476,34 @@
 PLANTS = {
     "": "",
     "copies_to_a_quick_client": "from fieldspur.net.relay import Outlet\nput = Outlet.put\n"
-              "Outlet.put = lambda self, data: put(self, (b''.join(data),))\n",
+    "Outlet.put = lambda self, data: put(self, (b''.join(data),))\n",
     "threads": "import queue, threading\nfrom fieldspur.net.route import Route\npost, line = Route.post, queue.Queue()\n"
-               "Route.post = lambda self, *about: line.put((self, about))\n"
-               "def run():\n    while True:\n        self, about = line.get()\n        post(self, *about)\n"
-               "def begin(self, old=Route.run):\n    threading.Thread(target=run, daemon=True).start()\n    old(self)\n"
-               "Route.run = begin\n",
+    "Route.post = lambda self, *about: line.put((self, about))\n"
+    "def run():\n    while True:\n        self, about = line.get()\n        post(self, *about)\n"
+    "def begin(self, old=Route.run):\n    threading.Thread(target=run, daemon=True).start()\n    old(self)\n"
+    "Route.run = begin\n",
     "peak_bytes": "from fieldspur.net.resp import Decoder\nfilled = Decoder.filled\n"
-                  "def more(self, size):\n    held = bytearray(65536)\n    yield from filled(self, size)\n"
-                  "Decoder.filled = more\n"}
+    "def more(self, size):\n    held = bytearray(65536)\n    yield from filled(self, size)\n"
+    "Decoder.filled = more\n",
+}
 
 
 @pytest.mark.parametrize("planted", PLANTS)
 def test_the_guard_names_a_copy_a_hand_off_and_an_allocation_and_passes_without(planted):
     rule = "media" if planted.startswith("copies") else "pages"
-    code = (PLANTS[planted] + "import json, os\nfrom fieldspur.bench import count\nlimits = json.loads(count.LIMITS.read_text())\n"
-            f"print(json.dumps(count.passed(count.counts({rule!r}, 30), limits[{rule!r}])), flush=True)\nos._exit(0)\n")
+    code = (
+        PLANTS[planted] + "import json, os\nfrom fieldspur.bench import count\nlimits = json.loads(count.LIMITS.read_text())\n"
+        f"print(json.dumps(count.passed(count.counts({rule!r}, 30), limits[{rule!r}])), flush=True)\nos._exit(0)\n"
+    )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60, cwd=ROOT)
     named = [line.split(":")[0] for line in eval(done.stdout or repr([done.stderr]))]
     assert planted in named if planted else named == [], done.stderr
 
 
 def test_the_command_holds_all_limits_and_says_so_by_its_code():
-    done = subprocess.run([sys.executable, "-m", "fieldspur.cli", "bench", "path", "--guard"], capture_output=True, text=True,
-                          timeout=60, cwd=ROOT)
+    done = subprocess.run(
+        [sys.executable, "-m", "fieldspur.cli", "bench", "path", "--guard"], capture_output=True, text=True, timeout=60, cwd=ROOT
+    )
     assert done.returncode == 0, done.stderr
 
 
@@ -493,6 +521,7 @@
 
 # A start.
 
+
 def test_a_start_loads_what_it_needs_and_compiles_nothing():
     assert start.guard() == []
 
@@ -515,6 +544,7 @@
 
 # Records.
 
+
 @given(st.lists(st.integers(), min_size=2, max_size=2), st.booleans())
 def test_records_are_what_dataclasses_make_of_the_same_fields(values, frozen):
     class Fields:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,23 +10,45 @@
 from fieldspur.decide import MS, SECOND, Fleet
 from fieldspur.host import RESULTS
 
-RULES = [rule(), rule(fresh=2 * SECOND), rule("keyed", "all", True), rule("keyed", "zone"),
-         rule("keyed", "cell"), rule("unrepeatable", never_kept=True), rule("unrepeatable")]
+RULES = [
+    rule(),
+    rule(fresh=2 * SECOND),
+    rule("keyed", "all", True),
+    rule("keyed", "zone"),
+    rule("keyed", "cell"),
+    rule("unrepeatable", never_kept=True),
+    rule("unrepeatable"),
+]
 STEPS = st.one_of(
-    st.tuples(st.just("arrive"), st.integers(0, len(RULES) - 1), st.sampled_from("abc"), st.integers(0, 1),
-              st.integers(1, 4000), st.integers(1, 6)),
-    st.tuples(st.just("end"), st.integers(0, 9), st.sampled_from([r for r in RESULTS if r != "cancelled"]),
-              st.integers(0, 10)),
+    st.tuples(
+        st.just("arrive"),
+        st.integers(0, len(RULES) - 1),
+        st.sampled_from("abc"),
+        st.integers(0, 1),
+        st.integers(1, 4000),
+        st.integers(1, 6),
+    ),
+    st.tuples(st.just("end"), st.integers(0, 9), st.sampled_from([r for r in RESULTS if r != "cancelled"]), st.integers(0, 10)),
     st.tuples(st.just("pass"), st.integers(1, 1500)),
     st.tuples(st.just("purge"), st.sampled_from(["a", "b", None]), st.integers(0, 400)),
-    st.tuples(st.just("list"), st.sampled_from(["c0", "c1", "c2", "p0", "p1", "origin"]),
-              st.sampled_from(["up", "draining", "gone"]), st.booleans()),
-    st.tuples(st.just("withdraw"), st.integers(0, 9)))
+    st.tuples(
+        st.just("list"),
+        st.sampled_from(["c0", "c1", "c2", "p0", "p1", "origin"]),
+        st.sampled_from(["up", "draining", "gone"]),
+        st.booleans(),
+    ),
+    st.tuples(st.just("withdraw"), st.integers(0, 9)),
+)
 
 
 @settings(derandomize=True, max_examples=300, deadline=None, suppress_health_check=list(HealthCheck))
-@given(st.lists(STEPS, max_size=60), st.booleans(), st.sampled_from(["nominal", "rough", "none"]),
-       st.sampled_from([0.0, 100.0, 400.0]), st.sampled_from([2.0, 10.0]))
+@given(
+    st.lists(STEPS, max_size=60),
+    st.booleans(),
+    st.sampled_from(["nominal", "rough", "none"]),
+    st.sampled_from([0.0, 100.0, 400.0]),
+    st.sampled_from([2.0, 10.0]),
+)
 def test_rules_are_kept_on_generated_days(steps, second_copies, sized, kb, rating):
     day = Referee(RULES, second_copies=second_copies, sized=sized, rating=rating)
     for step in steps:
@@ -62,9 +84,19 @@
     """Found at full size: a router's share was under one txn, or what it asked was taken for its share."""
     fleets, clock, asked = [], 1000 * SECOND, []
     for seed in range(routers):
-        fleet = Fleet(zone=1, parent_kind=1, origin_kind=2, sized=sized, cache_share=1 / routers,
-                      parent_share=1 / routers, cache_cold=(COLD, RAMP, MULTIPLE),
-                      parent_cold=(COLD, RAMP, MULTIPLE), fall_span=SPAN, link=0.0, siblings=False)
+        fleet = Fleet(
+            zone=1,
+            parent_kind=1,
+            origin_kind=2,
+            sized=sized,
+            cache_share=1 / routers,
+            parent_share=1 / routers,
+            cache_cold=(COLD, RAMP, MULTIPLE),
+            parent_cold=(COLD, RAMP, MULTIPLE),
+            fall_span=SPAN,
+            link=0.0,
+            siblings=False,
+        )
         fleet.random = random.Random(seed)
         fleet.list_begins(True)
         for name in ("cold", "warm"):
@@ -91,8 +123,19 @@
     clock, asked, dice = 1000 * SECOND, [], random.Random(3)
 
     def begin(seed, now):
-        fleet = Fleet(zone=1, parent_kind=1, origin_kind=2, sized="nominal", cache_share=1 / routers, parent_share=1 / routers,
-                      cache_cold=(COLD, RAMP, MULTIPLE), parent_cold=(COLD, RAMP, MULTIPLE), fall_span=SPAN, link=0.0, siblings=False)
+        fleet = Fleet(
+            zone=1,
+            parent_kind=1,
+            origin_kind=2,
+            sized="nominal",
+            cache_share=1 / routers,
+            parent_share=1 / routers,
+            cache_cold=(COLD, RAMP, MULTIPLE),
+            parent_cold=(COLD, RAMP, MULTIPLE),
+            fall_span=SPAN,
+            link=0.0,
+            siblings=False,
+        )
         fleet.random, fleet.began = random.Random(seed), now
         fleet.up_at = max(now, clock) + (int(dice.uniform(0, 1.5) * SECOND) if late and dice.random() < 1 / 3 else 0)
         fleet.list_begins(True)
@@ -118,5 +161,5 @@
         while asked[first] <= at - SPAN:
             first += 1
         budget = MULTIPLE * rating * (COLD + (1 - COLD) * max(0, at - SPAN - clock) / RAMP) / 0.3
-        assert n + 1 - first <= budget + 2 * budget ** 0.5 + 2
+        assert n + 1 - first <= budget + 2 * budget**0.5 + 2
     assert 0.3 * len(asked) > 0.1 * rating * RAMP / SECOND  # and it is used
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,6 +1,5 @@
 """The whole program as a process, between stand-ins on loopback. Tests wait for conditions, not for times."""
 
-
 import json
 import signal
 import socket
@@ -50,9 +49,16 @@
     assert client.get() == (66, 1, 79, {"current": "1"}, b"")
 
 
-@pytest.mark.parametrize("fields, body, seen", [
-    ("entity=4be0c1927d55a6f4,issued=1", b"", "4be0c1927d55a6f3"), ("issued=1", b"", "4be0c1927d55a6f3"), ("-", b"", "4be0c1927d55a6f3"),
-    ("entity=4be0c1927d55a6f3,issued=1", b"bytes", "4be0c1927d55a6f3"), ("entity=4be0c1927d55a6f3,issued=1", b"", "")])
+@pytest.mark.parametrize(
+    "fields, body, seen",
+    [
+        ("entity=4be0c1927d55a6f4,issued=1", b"", "4be0c1927d55a6f3"),
+        ("issued=1", b"", "4be0c1927d55a6f3"),
+        ("-", b"", "4be0c1927d55a6f3"),
+        ("entity=4be0c1927d55a6f3,issued=1", b"bytes", "4be0c1927d55a6f3"),
+        ("entity=4be0c1927d55a6f3,issued=1", b"", ""),
+    ],
+)
 def test_a_copy_is_called_current_only_where_a_server_named_that_copy_to_this_client(run, fields, body, seen):
     spoilt = Cache(lambda want: ("NOMOD", fields, body))
     service = run(spoilt)
@@ -87,13 +93,24 @@
     assert client.get()[:3] == (66, 1, 79) and len(cache.wants) == 2
 
 
-@pytest.mark.parametrize("spoilt", [b"*4\r\n$16\r\n0000", b"*4\r\n$99\r\n", b"*", b"*4\r\n$3000000000\r\n", b"\xff" * 40,
-                                    b"*2\r\n$16\r\n0000000000000001\r\n$3\r\nACK\r\n"], ids=range(6))
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b"*4\r\n$16\r\n0000",
+        b"*4\r\n$99\r\n",
+        b"*",
+        b"*4\r\n$3000000000\r\n",
+        b"\xff" * 40,
+        b"*2\r\n$16\r\n0000000000000001\r\n$3\r\nACK\r\n",
+    ],
+    ids=range(6),
+)
 def test_an_answer_that_is_spoilt_or_stops_short_costs_a_hop_and_not_the_txn(run, spoilt):
     def says(want):
         if len(cache.wants) > 1:
             return ACK
         cache.held[want["id"]].sendall(spoilt)  # and the connection stays open
+
     cache, conf = Cache(says), settings()
     conf["allowed"]["connectTimeoutUs"] = 200_000
     service = run(cache, settings=conf)
@@ -110,6 +127,7 @@
         cache.answer("f" * 16, "ACK", "entity=e,issued=1", b"unknown")
         for _ in range(2):
             cache.answer(want["id"], "ACK", "entity=e,issued=1", want["id"].encode())
+
     cache = Cache(says)
     client = run(cache).client()
     for stream in range(1, 9):
@@ -165,8 +183,7 @@
     until(lambda: {"%016x" % 1, "%016x" % 2} <= set(cache.given_up), "never_mind")
 
 
-@pytest.mark.parametrize("data", [
-    b"\0\0\0\4A\0\0\0\7", b"\0\x7f\0\0A\0\0\0\7", b"\0\0\0\5B\0\0\0\7", b"\0\0\0\6Z\0\0\0\7\0"])
+@pytest.mark.parametrize("data", [b"\0\0\0\4A\0\0\0\7", b"\0\x7f\0\0A\0\0\0\7", b"\0\0\0\5B\0\0\0\7", b"\0\0\0\6Z\0\0\0\7\0"])
 def test_a_connection_that_can_not_be_read_is_told_and_closed_after_what_it_owes(run, data):
     cache = Cache(lambda want: None)
     service = run(cache)
@@ -190,9 +207,10 @@
     assert client.get()[:2] == (66, 0) and client.get() is None
 
 
-@pytest.mark.parametrize("fields, drop", [
-    ({"verb": "nothing"}, ()), ({}, ("txn",)), ({"limit": "soon"}, ()), ({"verb": "checkout"}, ()),
-    ({"item": "a,miss=o"}, ())])
+@pytest.mark.parametrize(
+    "fields, drop",
+    [({"verb": "nothing"}, ()), ({}, ("txn",)), ({"limit": "soon"}, ()), ({"verb": "checkout"}, ()), ({"item": "a,miss=o"}, ())],
+)
 def test_a_request_that_can_not_be_used_fails_alone(run, fields, drop):
     cache = Cache()
     client = run(cache).client()
@@ -239,15 +257,16 @@
         client.ask(client.stream, item="%016x" % 1)
         client.get()
         return home.wants[-1].get("within")
+
     assert 0 < int(until(purged, "a purge")) <= (time.monotonic() - made) * 1000  # no copy older than the purge will do
     name = "c0" if home is cache else "c1"
-    service.board.tell(3, pool={"index": 2, "snapshot": False,
-                                "endpoints": [endpoint(name, home.address, status="draining")]})
+    service.board.tell(3, pool={"index": 2, "snapshot": False, "endpoints": [endpoint(name, home.address, status="draining")]})
 
     def drained():
         client.stream += 1
         client.ask(client.stream, item="%016x" % 1)
         return client.get()[2] == 79 and rest.wants
+
     until(drained, "the drain")
     assert all(want.get("miss") != name for want in rest.wants)
 
@@ -271,6 +290,7 @@
         client.ask(client.stream, item="%016x" % 1)
         client.get()
         return "within" in cache.wants[-1]
+
     until(applied, "the purge that was missing")
 
 
@@ -295,6 +315,7 @@
         client.ask(client.stream, item="%016x" % 1)
         client.get()
         return "within" in cache.wants[-1]
+
     until(applied, "the purge that the new board told")
     assert "event=reloaded" in service.lines() and "unchanged=seed" in service.lines()
     service.process.terminate()
@@ -302,9 +323,19 @@
     assert service.process.wait(20) == 0
 
 
-@pytest.mark.parametrize("line", [b"[" * 100_000, b'{"rev":2,"pool":' + b'{"a":' * 100_000, b'{"rev":1' + b"0" * 5000,
-                                  b'{"rev":2,"pool":{"endpoints":[{"name":"x","weight":1' + b"0" * 400 + b"}]}}",
-                                  b'{"rev":2,"flush":{"asset":7}}', b"\xff\x00", b'{"rev":2,"pool"'], ids=range(7))
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"[" * 100_000,
+        b'{"rev":2,"pool":' + b'{"a":' * 100_000,
+        b'{"rev":1' + b"0" * 5000,
+        b'{"rev":2,"pool":{"endpoints":[{"name":"x","weight":1' + b"0" * 400 + b"}]}}",
+        b'{"rev":2,"flush":{"asset":7}}',
+        b"\xff\x00",
+        b'{"rev":2,"pool"',
+    ],
+    ids=range(7),
+)
 def test_nothing_that_the_board_writes_ends_the_program(run, line):
     service = run(Cache())
     service.client()  # ready: the board has said its last number, and writes nothing more on its own
@@ -326,6 +357,7 @@
         except OSError:
             pass  # given up at the other end
         return len(service.board.watched) > 1
+
     until(trickle, "a further watch")
 
 
@@ -336,14 +368,17 @@
     client.ask(1)
     client.get()
     before = len(cache.conns)
-    service.board.tell(2, pool={"index": 2, "snapshot": False, "endpoints": [
-        endpoint("c0", cache.address, status="removed"), endpoint("c9", cache.address)]})
+    service.board.tell(
+        2,
+        pool={"index": 2, "snapshot": False, "endpoints": [endpoint("c0", cache.address, status="removed"), endpoint("c9", cache.address)]},
+    )
 
     def moved():
         client.stream = getattr(client, "stream", 1) + 1
         client.ask(client.stream)
         assert client.get()[2] in (66, 79)
         return len(cache.conns) > before
+
     until(moved, "a connection of its own")
 
 
@@ -460,8 +495,10 @@
 
 
 def test_an_exception_in_a_thread_ends_the_program():
-    code = ("import threading, time, fieldspur.__main__ as m; m.logs.begin(); threading.excepthook = m.fail\n"
-            "threading.Thread(target=lambda: 1 / 0).start(); time.sleep(30)")
+    code = (
+        "import threading, time, fieldspur.__main__ as m; m.logs.begin(); threading.excepthook = m.fail\n"
+        "threading.Thread(target=lambda: 1 / 0).start(); time.sleep(30)"
+    )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, timeout=20)
     assert done.returncode == 1 and b"event=crashed" in done.stderr and b"ZeroDivisionError" in done.stderr
 
@@ -469,8 +506,10 @@
 def test_what_must_hold_is_asserted_here_and_counted_in_a_release_build():
     with pytest.raises(AssertionError):
         holding.holds(False, "a thing")
-    code = ("from fieldspur.net import logs, holds as h; logs.begin()\n"
-            "print(h.holds(True, 'a'), h.holds(False, 'b', n=1), h.holds(False, 'b'), h.broken)")
+    code = (
+        "from fieldspur.net import logs, holds as h; logs.begin()\n"
+        "print(h.holds(True, 'a'), h.holds(False, 'b', n=1), h.holds(False, 'b'), h.broken)"
+    )
     done = subprocess.run([sys.executable, "-O", "-c", code], capture_output=True, timeout=20)
     assert done.stdout.decode().strip() == "True False False {'b': 2}" and b"event=broken" in done.stderr
 
@@ -580,9 +619,13 @@
     told = []
     board = Board(("127.0.0.1", 1), SimpleNamespace(list_told=lambda change, now: told.append(change)), 1)
     whole = endpoint("c0", "127.0.0.1:5")
-    board.begin([{"rev": 1, "pool": {"snapshot": True, "endpoints": [whole]}},
-                 {"rev": 2, "pool": {"endpoints": [{"status": "up"}, {"name": "c1", "status": "odd"},
-                                                   {"name": "c0", "status": "draining"}]}}], 2)
+    board.begin(
+        [
+            {"rev": 1, "pool": {"snapshot": True, "endpoints": [whole]}},
+            {"rev": 2, "pool": {"endpoints": [{"status": "up"}, {"name": "c1", "status": "odd"}, {"name": "c0", "status": "draining"}]}},
+        ],
+        2,
+    )
     first, second = (change.servers[0] for change in told)
     assert (second.state, second.zone, second.address) == ("draining", first.zone, first.address) and board.last == 2
 
@@ -592,8 +635,7 @@
     site, outlet = deployment(settings()), Outlet(here, encode, Relay(1 << 20))
     admit = Admit(site, Book(), SimpleNamespace(queue=(), most_queued=512, arrived=None, behind=0, post=lambda *about: None), 1000)
     for stream in (1, 2):
-        admit.request(Request(stream, "media", "%016x" % stream, 10**9, None, "0" * 16, 0, 1, 1.0, None, b"x" * 600),
-                      outlet, clock())
+        admit.request(Request(stream, "media", "%016x" % stream, 10**9, None, "0" * 16, 0, 1, 1.0, None, b"x" * 600), outlet, clock())
     assert there.recv(100) == b"".join(encode(2, Answer("rejected", 1000))) and list(outlet.streams) == [1]
 
 
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -75,10 +75,12 @@
 
 def slow_look(look, order):
     """A look at a client that takes longer than discovery's last word is good for."""
+
     def looks(hop):
         order.append(hop.ident)
         time.sleep(2 * LOOK_BOARD / 1e9)
         return look(hop)
+
     return looks
 
 
@@ -152,6 +154,7 @@
             threads[0].start()
             threads[0].join(0.3)
             super().__delitem__(key)
+
     send.untold = Between({5: first})
     send.told(first)
     threads[0].join()
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -63,7 +63,7 @@
 def test_the_largest_tenth_and_the_next_fifth_keep_their_part_of_what_their_class_is_answered(load, hang, least):
     found = sorted((pair for seed in range(3) for pair in played(load, seed, hang)), reverse=True)
     whole = sum(done for _, done in found) / len(found)
-    tenth, fifth = found[:len(found) // 10], found[len(found) // 10:len(found) * 3 // 10]
+    tenth, fifth = found[: len(found) // 10], found[len(found) // 10 : len(found) * 3 // 10]
     print(load, hang, len(found), round(whole, 3), [round(sum(done for _, done in part) / len(part), 3) for part in (tenth, fifth)])
     for part in (tenth, fifth):
         assert sum(done for _, done in part) / len(part) >= least * whole
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,9 +11,10 @@
 
 PLANTED = {  # by the invariant that has to find it
     "deadline": "from fieldspur.net import resp\nwant = resp.want\n"
-                "def late(one):\n    one.limit_ms += 400\n    return want(one)\nresp.want = late\n",
+    "def late(one):\n    one.limit_ms += 400\n    return want(one)\nresp.want = late\n",
     "final_answer": "from fieldspur.net.relay import Outlet\nanswer = Outlet.answer\n"
-                    "Outlet.answer = lambda self, stream, *about, **more: stream % 7 and answer(self, stream, *about, **more)\n"}
+    "Outlet.answer = lambda self, stream, *about, **more: stream % 7 and answer(self, stream, *about, **more)\n",
+}
 START = "import sys\nfrom fieldspur.__main__ import main\nsys.exit(main())\n"
 
 
@@ -86,8 +87,9 @@
     assert broken(found) == (set() if whole else {"one_attempt"})
 
 
-@pytest.mark.parametrize("ago_ms, used, killed, whole", [(30, True, False, True), (30, False, False, False), (80, True, False, False),
-                                                         (80, True, True, True)])
+@pytest.mark.parametrize(
+    "ago_ms, used, killed, whole", [(30, True, False, True), (30, False, False, False), (80, True, False, False), (80, True, True, True)]
+)
 def test_a_connection_that_ends_under_a_request_loses_it_unless_it_crossed_or_the_router_was_killed(ago_ms, used, killed, whole):
     found = invariants()
     conn = sent(found)
@@ -99,8 +101,9 @@
     """Real processes under the shim; a few seconds each. The long run is `fieldspur lab soak`."""
     with ThreadPoolExecutor(2) as pool:
         whole = pool.submit(play.soak, 14, 12.0, 4)
-        planted = {name: pool.submit(play.soak, 14, 10.0, 2, command=[sys.executable, "-O", "-c", code + START])
-                   for name, code in PLANTED.items()}
+        planted = {
+            name: pool.submit(play.soak, 14, 10.0, 2, command=[sys.executable, "-O", "-c", code + START]) for name, code in PLANTED.items()
+        }
     assert whole.result()["passed"], whole.result()["missed"]
     for name, found in planted.items():
         assert found.result()["rules"][name], found.result()["missed"]
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -53,8 +53,10 @@
 
 
 def drain(caches, rev=2, name="c0"):
-    return {"rev": rev, "pool": {"index": rev, "snapshot": False, "endpoints": [
-        endpoint(name, caches[int(name[1:])].address, status="draining")]}}
+    return {
+        "rev": rev,
+        "pool": {"index": rev, "snapshot": False, "endpoints": [endpoint(name, caches[int(name[1:])].address, status="draining")]},
+    }
 
 
 def ask_many(client, first, count=12):
@@ -74,10 +76,20 @@
     assert len(caches[0].wants) == before and len(caches[1].wants) >= 12
 
 
-@pytest.mark.parametrize("moods, most_s", [
-    (["silent"], SILENCE), (["silent"] * 2, 2 * SILENCE), (["half a line"], SILENCE), (["noise"], 0.0), (["numbers alone"], 0.0),
-    (["the last line cut off"], 0.0), (["ends"] * 3, 0.0), (["ends unread"] * 3, 0.0),
-    (["ends", "silent", "numbers alone", "the last line cut off"], SILENCE)])
+@pytest.mark.parametrize(
+    "moods, most_s",
+    [
+        (["silent"], SILENCE),
+        (["silent"] * 2, 2 * SILENCE),
+        (["half a line"], SILENCE),
+        (["noise"], 0.0),
+        (["numbers alone"], 0.0),
+        (["the last line cut off"], 0.0),
+        (["ends"] * 3, 0.0),
+        (["ends unread"] * 3, 0.0),
+        (["ends", "silent", "numbers alone", "the last line cut off"], SILENCE),
+    ],
+)
 def test_a_drain_told_to_a_watch_that_goes_wrong_takes_hold_once_the_next_one_is_heard(run, moods, most_s):
     """From the first connection on, so also in the first seconds; the router never stays with a watch that will not speak again."""
     caches, board = [Cache(lambda want: HIT) for _ in range(2)], Moody(*moods)
@@ -103,6 +115,7 @@
         hush.set()
         while conn.recv(4096):
             pass
+
     board.serve = serve
     service = run(*caches, notices=board)
     ask_many(service.client(), 1)
@@ -191,6 +204,7 @@
             self.events, self.watched, self.sent, self.wait, self.numbers, self.conns = [drain(caches)], [], [], 0.0, True, []
             self.sock = socket.create_server(("127.0.0.1", port))
             threading.Thread(target=self.run, daemon=True).start()
+
     for _ in range(60):
         idle.append(socket.create_connection(client.sock.getpeername(), timeout=20))
     service.board = There()
--- a/tests/yard.py
+++ b/tests/yard.py
@@ -73,7 +73,7 @@
             acting = [n for n in range(self.members) if n not in self.down and self.nodes[n].acts(self.now)]
             self.most_acting = max(self.most_acting, len(acting))
             self.acted += [n for n in acting if not self.acted or self.acted[-1] != n]
-            for node in self.nodes[:self.settle]:
+            for node in self.nodes[: self.settle]:
                 self.compare(node.agreed() or ())
 
     def read(self, n, m):
@@ -84,7 +84,7 @@
             self.nodes[n].heard_follower(f"r{m}", line, self.now)
 
     def compare(self, agreed):
-        assert agreed[:len(self.decided)] == self.decided[:len(agreed)]
+        assert agreed[: len(self.decided)] == self.decided[: len(agreed)]
         self.decided = max(self.decided, agreed, key=len)
 
     def want(self, n, body):
@@ -94,7 +94,7 @@
         self.run(500)
         self.nodes[0].found()
         self.run(5000)
-        assert all(node.register.life for node in self.nodes[:self.settle]) and self.acted
+        assert all(node.register.life for node in self.nodes[: self.settle]) and self.acted
 
     def kill(self, n):
         self.down.add(n)
@@ -108,8 +108,7 @@
     """Routers that use machines by what they know, and may see hops of theirs last as long as a txn may. Each step holds them to
     what is promised: nothing new to a machine 250 ms after it was out, no `free` with anything open, the bounds, one order."""
 
-    def __init__(self, members, seed, machines=6, bounds=plan.Bounds(zone=0.5, all=0.5, both=1.0), strict=False, planted=None,
-                 followers=0):
+    def __init__(self, members, seed, machines=6, bounds=plan.Bounds(zone=0.5, all=0.5, both=1.0), strict=False, planted=None, followers=0):
         self.bounds, self.strict, self.planted = bounds, strict, planted or (lambda foreman: None)
         self.listings = {f"c{m}": work.Listing("up", 0, f"h:{m}", "east", "cache", 10.0) for m in range(machines)}
         self.wished = {n: [] for n in range(members)}
@@ -152,9 +151,15 @@
         foreman.applied(foreman.work.number, {m: sum(hop[0] == m for hop in self.hops[n]) for m in foreman.announced()})
 
     def cold(self, foreman, machine, now):
-        return any(one.machine == machine and one.state == work.BACK and one.at not in self.numbers or
-                   one.machine == machine and one.state == work.BACK and now - self.numbers[one.at][1] < WARM
-                   for one in foreman.work.orders)
+        return any(
+            one.machine == machine
+            and one.state == work.BACK
+            and one.at not in self.numbers
+            or one.machine == machine
+            and one.state == work.BACK
+            and now - self.numbers[one.at][1] < WARM
+            for one in foreman.work.orders
+        )
 
     def hop(self, n, machine):
         now = self.now
@@ -191,8 +196,13 @@
                 self.outs[one.machine] = self.now
             if one.state == work.FREE and one.at == found.number:
                 self.frees.append(one.machine)
-                users = [n for n in range(self.members) if n not in self.down and n not in self.stopped
-                         and any(hop[0] == one.machine and hop[2] > self.now for hop in self.hops[n])]
+                users = [
+                    n
+                    for n in range(self.members)
+                    if n not in self.down
+                    and n not in self.stopped
+                    and any(hop[0] == one.machine and hop[2] > self.now for hop in self.hops[n])
+                ]
                 if users:
                     self.wrong.append(f"{one.machine} free, r{users[0]} has something open there")
                 self.restarts.append((self.now + int(one.needs * SECOND), one.machine))
