--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -34,6 +34,7 @@
 LANE_MEMORY = 2 << 20  # bytes of the limit for each connection to a server
 FILE_PAUSE = 0.05  # seconds between two tries to open a file
 PARTING = 0.2  # seconds in which clients may close by themselves
+LAST_MOMENT = 0.05  # before the kill, for what a program does last
 STILL_COMING = 0.7  # seconds after SIGTERM for which clients still come, by the protocol
 KILLED_AFTER, BEFORE_IT = 3.0, 0.1  # so much later, or the longest time limit if that is less, SIGKILL may come; margin
 
@@ -212,6 +213,7 @@
         self.takein.ending()
         time.sleep(STILL_COMING)
         self.takein.close()
+        killed_at = began + STILL_COMING + min(self.longest, KILLED_AFTER)
         left = min(self.longest, KILLED_AFTER) - BEFORE_IT
         self.takein.admit.ends_at = time.monotonic_ns() + EPOCH + int(left * 1e9)
         while (took := time.monotonic() - began) < self.longest + STILL_COMING:
@@ -221,8 +223,8 @@
             if may_exit(self.takein.shut(late), len(self.book.open), not self.relay.done()):
                 break
             time.sleep(0.01)
-        began = time.monotonic()
-        while self.takein.clients and time.monotonic() - began < PARTING:
+        parting_ends = min(time.monotonic() + PARTING, killed_at - LAST_MOMENT)
+        while self.takein.clients and time.monotonic() < parting_ends:
             time.sleep(0.01)
 
 
