--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -159,3 +159,17 @@
     send.told(first)
     threads[0].join()
     assert send.untold.get(5) is second
+
+
+def test_each_request_of_one_late_read_has_its_time_from_its_own_coming(run):
+    """Seen with 36 routers on one core: the system tells only when the last bytes came, and all that are read with them count from then."""
+    service = run(cache := Cache(lambda want: None))
+    client = service.client()
+    pause(service.process)
+    client.ask(1, limit="2500")
+    time.sleep(0.6)
+    client.ask(2, limit="2500")
+    service.process.send_signal(signal.SIGCONT)
+    until(lambda: len(cache.wants) >= 2)
+    limits = {want["id"]: int(want["limit"]) for want in cache.wants}
+    assert limits["%016x" % 2] > 2000 and limits["%016x" % 1] <= 2500 - 600 + 150
