A test of a cut probe writes what it hands over, as the Router does

Traced: Send.hop makes the connection, whose thread dials, comes up and writes what waits, and then puts the attempt into its queue; who called it writes (Lane.pump), as Route does from its outbox. The test did not. Where the dial came up first, the probe waited for ever. A sleep of 0.2 s planted after the making of the connection: fails each time as it was, passes with the call. The program was ruled out: every caller in it pumps.

The checks are as they were.

--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -54,6 +54,7 @@
     send = sender(cache.address)
     probe = Hop(0, 1, "busy-1", "c0", None, None, clock())
     lane = send.hop(probe)
+    lane.pump()  # as who hands over an attempt does: the connection may have come up before that waited in it
     until(lambda: lane.ready)
     until(lambda: not lane.queue)
     failed = []
