Failing test: requests of a late read that comes in pieces are dated by the last bytes

The known failure of a late read, where each read brings some bytes only: a request may end in a read together with the head of the next one, or alone with the next one still in the socket. Beside it a test that holds already and has to go on: requests that a client sends together after a rest keep their whole time.

--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -175,3 +175,33 @@
     until(lambda: len(cache.wants) >= 2)
     limits = {want["id"]: int(want["limit"]) for want in cache.wants}
     assert limits["%016x" % 2] > 2000 and limits["%016x" % 1] <= 2500 - 600 + 150
+
+
+def test_requests_of_one_late_read_that_comes_in_pieces_have_their_time_from_their_own_coming(run, tmp_path):
+    """As above, and each read brings some bytes only: what ends a request may be read with the head of the next, or alone."""
+    faults = shim.Shim(tmp_path, shim.build(tmp_path), 0, 1)
+    service = run(cache := Cache(lambda want: None), env=faults.env)
+    client = service.client()
+    faults.rate("shorten", 1000)
+    pause(service.process)
+    client.ask(1, b"x" * 3000, limit="2500")
+    time.sleep(0.6)
+    client.ask(2, limit="2500")
+    service.process.send_signal(signal.SIGCONT)
+    until(lambda: len(cache.wants) >= 2)
+    limits = {want["id"]: int(want["limit"]) for want in cache.wants}
+    assert limits["%016x" % 2] > 2000 and limits["%016x" % 1] <= 2500 - 600 + 150
+    assert faults.fired()["shorten"]
+
+
+def test_requests_that_a_client_sends_together_after_a_rest_keep_their_whole_time(run):
+    """Nothing tells that such a read is late: its requests came when they were read."""
+    service = run(cache := Cache())
+    client = service.client()
+    client.ask(1, limit="2500")
+    until(lambda: cache.wants)
+    time.sleep(1.2)
+    for ident in (2, 3, 4):
+        client.ask(ident, limit="2500")
+    until(lambda: len(cache.wants) >= 4)
+    assert min(int(want["limit"]) for want in cache.wants) > 2300
