Requests of a late read have their time from the earliest moment at which they can have come

Callers: a request that had lain 0.6 s in its socket while its router was stopped, or had no core, went on with 2474 ms where its client had 1900.

Cause: the time of all requests of one read counted from the last bytes, for the system tells of no others (TCP_INFO; time stamps are joined).

Change: fieldspur/net/arrival.py. Holds because nobody else reads that socket: what lies there came after the read that emptied it. Nothing is asked within 50 ms of the read before, nor of a request alone in its read.

--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -10,7 +10,6 @@
 import threading
 import time
 
-from fieldspur.gate import Gate
 from fieldspur.host import RESULTS
 from fieldspur.net import holds, logs
 from fieldspur.net.admit import Admit
@@ -23,7 +22,7 @@
 from fieldspur.net.send import Send
 from fieldspur.net.takein import TakeIn
 from fieldspur.operators import BadFile, Operators, read
-from fieldspur.permissions import GiveUp, may_exit, may_try_again
+from fieldspur.permissions import Gate, GiveUp, may_exit, may_try_again
 from fieldspur.record import replace
 from fieldspur.site import MS, BadSite, Node, Unopened, differences, read_node
 
--- a/fieldspur/fleet/overlay.py
+++ b/fieldspur/fleet/overlay.py
@@ -11,8 +11,8 @@
 from fieldspur.decide import Fleet
 from fieldspur.fleet.foreman import COLD, EJECTED, MOST_LOADS, WELL
 from fieldspur.fleet.work import Listing
-from fieldspur.gate import Shut
 from fieldspur.net.board import ListChange, Listed
+from fieldspur.permissions import Shut
 from fieldspur.record import replace
 from fieldspur.site import MS
 
--- a/fieldspur/net/relay.py
+++ b/fieldspur/net/relay.py
@@ -246,6 +246,7 @@
         self.lock = threading.Lock()
         self.held, self.most_held, self.too_much = 0, most_held, 0
         self.ticked, self.careful_until = NEVER, 0  # the last tick; until when answers look first
+        self.stall_began = 0  # the last tick before the latest one that came late
         # Answers not yet handed to their connection, by txn and hop (one thread each): added before the txn is taken out
         # of the book, discarded once the answer is on its way.
         self.owing: set[tuple[int, int]] = set()
@@ -254,9 +255,15 @@
         """Called every `TICK`. One that comes late tells that the process was stopped, or had no core: which of its threads goes on
         first is chance, and for a while answers look whether something of their client's lies unread."""
         if now - self.ticked > TICK_LATE:
-            self.careful_until = now + CAREFUL
+            self.stall_began, self.careful_until = self.ticked, now + CAREFUL
         self.ticked = now
 
+    def stalled_since(self, now: int) -> int:
+        """Since when the process may have been stopped, or had no core, until a moment ago; `now` where nothing tells so."""
+        if now - self.ticked > TICK_LATE:
+            return self.ticked
+        return self.stall_began if now < self.careful_until else now
+
     def hold(self, size: int) -> None:
         with self.lock:
             self.held += size
--- a/fieldspur/net/route.py
+++ b/fieldspur/net/route.py
@@ -9,7 +9,6 @@
 import time
 from collections import deque
 
-from fieldspur.gate import Gate
 from fieldspur.host import RESULTS
 from fieldspur.net import resp
 from fieldspur.net.board import ListChange, Purge
@@ -20,7 +19,7 @@
 from fieldspur.net.relay import Relay
 from fieldspur.net.send import Send
 from fieldspur.net.wheel import NEVER, Wheel
-from fieldspur.permissions import GiveUp
+from fieldspur.permissions import Gate, GiveUp
 from fieldspur.site import MS, Deployment, build_router
 
 log = logging.getLogger("fieldspur.route")
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -10,10 +10,11 @@
 
 from fieldspur.net import frames
 from fieldspur.net.admit import Admit
+from fieldspur.net.arrival import Arrivals
 from fieldspur.net.book import Answer, Book
 from fieldspur.net.holds import contained
 from fieldspur.net.logs import ReasonCounter
-from fieldspur.net.now import AWAY, EPOCH, came, lay_for, looks_at
+from fieldspur.net.now import AWAY, EPOCH, came, looks_at
 from fieldspur.net.relay import TICK, Outlet, Relay
 from fieldspur.net.wheel import NEVER
 from fieldspur.permissions import Accepting, ClientState, CloseReason, close_reason, may_cut, may_try_again
@@ -23,7 +24,6 @@
 MOST_STREAMS = 32  # open on one connection
 MOST_AHEAD = 4096  # streams used out of order
 MOST_AFTER = 1 << 20  # bytes read on after what can't be read
-LATE_READ = 50 * MS  # since the read before: what is read now may have lain there for as long
 MOST_BEHIND = 4  # further reads before what was taken is handed over, while more lies there
 BACKLOG = 512
 LISTEN_PAUSE = 0.1  # seconds between two tries to listen
@@ -86,10 +86,10 @@
 
     def read(self) -> None:
         decoder, after, behind, taken = frames.Decoder(), 0, 0, False
-        before, late_since = 0, NEVER  # when it last came back from a read; since when what is read now may lie there
+        window, arrivals = decoder.window, Arrivals(self.sock, self.takein.relay)
         looks = looks_at(self.sock).poll
         try:
-            while size := self.sock.recv_into(decoder.window.view if self.failed or self.outlet.shut_at else decoder.window.room()):
+            while size := self.sock.recv_into(window.view if self.failed or self.outlet.shut_at else window.room()):
                 if self.failed or self.outlet.shut_at:  # only to see its end, or what it was told might be lost in a reset
                     self.outlet.worked_off += size
                     after += size
@@ -99,23 +99,19 @@
                     continue
                 if (found := looks(0)) and found[0][1] & AWAY:
                     break  # nobody waits for what it sent; guards against attempts begun for thousands that send and go
-                now = back = time.monotonic_ns() + EPOCH
-                if now - before > LATE_READ:  # this thread had no turn, or the process was stopped
-                    late_since = min(late_since, before)
-                if late_since != NEVER:  # a client's time runs from its bytes' coming, also where they are read in pieces
-                    lay = min(lay_for(self.sock), now - late_since)
-                    now -= lay
-                    if lay <= LATE_READ:
-                        late_since = NEVER  # what comes from now on is new
-                before = back
+                arrivals.read(time.monotonic_ns() + EPOCH, found)
                 self.takein.route.gather()
                 try:
                     for value in decoder.filled(size):
-                        self.took(value, now)
+                        self.took(
+                            value, arrivals.latest if arrivals.late_since == NEVER else arrivals.of_request(window.start < window.end)
+                        )
                         taken = True
                         if self.failed:
                             break
-                    held = decoder.window.end - decoder.window.start
+                    held = window.end - window.start
+                    if arrivals.late_since != NEVER:
+                        arrivals.worked_off(unfinished=held > 0)
                     if held or self.held:
                         self.hold(held)
                 except frames.BadFrame as bad:
--- a/fieldspur/permissions.py
+++ b/fieldspur/permissions.py
@@ -25,6 +25,7 @@
 NO_ROUTE = frozenset((errno.ENETUNREACH, errno.ENETDOWN))
 ACCEPT_FAILING_S = 0.25  # an accept that fails for less is a passing failure: it is tried again, and nobody pays for it
 TRY_AGAIN_S = 5.0  # a start has 10 s until it has to be ready
+GATE_PATIENCE = 0.4  # share of a request's time left that it may wait at a gate; past half of it a refusal costs the client more
 CROSSING_S = 0.1  # after this side was shut, a client may have a request under way, which it then sends again
 
 
@@ -281,6 +282,33 @@
     return number in OUT_OF_ROOM and tried_s < TRY_AGAIN_S
 
 
+# Requests that come before the list of servers is known.
+
+
+class Gate:
+    """Shut until discovery has caught up after a start, for `wait` at the longest. A router that has just started has the list of its
+    file, which may be older than what discovery holds: it decides nothing on it before."""
+
+    def __init__(self, now: int, wait: int, most: int):
+        self.shut_at, self.opens_at, self.most = now, now + wait, most  # most: requests that wait at a time
+
+    def until(self, now: int, limit_at: int, waiting: int) -> int:
+        """Until when a request may wait; it is given up then, unless the gate has opened. Not past `now`: at once."""
+        if waiting >= self.most:
+            return now
+        return min(now + int((limit_at - now) * GATE_PATIENCE), self.opens_at + max(0, limit_at - self.opens_at) // 2)
+
+
+class Shut:
+    """Shut until somebody opens it: a router that can't know which servers it may use turns requests away at once."""
+
+    def __init__(self):
+        self.shut_at = 0
+
+    def until(self, now: int, limit_at: int, waiting: int) -> int:
+        return now
+
+
 # The program's end.
 
 
--- a/tests/test_first_bytes.py
+++ b/tests/test_first_bytes.py
@@ -10,12 +10,12 @@
 from helpers import Cache, Listener, Notices, Stalled, clock, endpoint, readers_held, sender, until
 from test_path import go, want
 
-from fieldspur.gate import Gate
 from fieldspur.net import resp
 from fieldspur.net.board import Board, ListChange, Listed
 from fieldspur.net.lane import Hop
 from fieldspur.net.now import looks_at
 from fieldspur.net.route import MOST_QUEUED, Route
+from fieldspur.permissions import Gate
 from fieldspur.site import MS
 
 
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -164,7 +164,10 @@
 
 
 def test_each_request_of_one_late_read_has_its_time_from_its_own_coming(run):
-    """Seen with 36 routers on one core: the system tells only when the last bytes came, and all that are read with them count from then."""
+    """Seen with 36 routers on one core, and here each time: a router is stopped, a request comes, 0.6 s later another, and it goes on. Both
+    were read at once, and TCP_INFO told 0 ms, for it tells of the last bytes alone (time stamps too: the kernel joins what lies there).
+    The first passed on 2474 of its 2500 ms, with 1900 left. Its reader now dates it no later than the last tick of the sweep before the
+    stop, which the late tick after it names, or by its own wait for a core (`fieldspur/net/arrival.py`)."""
     service = run(cache := Cache(lambda want: None))
     client = service.client()
     pause(service.process)
@@ -178,7 +181,8 @@
 
 
 def test_requests_of_one_late_read_that_comes_in_pieces_have_their_time_from_their_own_coming(run, tmp_path):
-    """As above, and each read brings some bytes only: what ends a request may be read with the head of the next, or alone."""
+    """As above, and each read brings some bytes only: what ends a request may be read with the head of the next, or alone. The first read
+    found that nothing had lain there, by the last bytes, and all that followed counted as new."""
     faults = shim.Shim(tmp_path, shim.build(tmp_path), 0, 1)
     service = run(cache := Cache(lambda want: None), env=faults.env)
     client = service.client()
