A router whose disk fails as it starts serves, and is a member once it can read what it kept

Callers lost a router's whole capacity: it ended with code 2 and stayed down for as long as the disk failed at its starts, and a read that failed set its register aside as spoilt, so that the member had forgotten what it promised.

Cause: sqlite rolls back a write that a kill left half done before it reads; with writes that fail, opening or reading raises OperationalError. Store took that for a folder that can't be used, and in load for a spoilt file. Ruled out: the file itself, which is whole once the disk works.

Change: Store tells what passes (NotRead) from what does not by sqlite's own codes. A member that can't read its register is silent: it publishes nothing and takes no watchers, so to the others it is not there, and can neither come back without its memory nor be founded; it hears them and keeps off what they settled. Its thread asks again until it can read. Only a folder that is not there ends the start. Threads of the fleet package are kept running like the others (an unforeseen error there ended the program).

Holds because all that a member promises is read by others from its line, and there is none before the register is back.

--- a/fieldspur/fleet/follower.py
+++ b/fieldspur/fleet/follower.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from fieldspur.fleet import agree
-from fieldspur.fleet.agree import Said
+from fieldspur.fleet.agree import Register, Said
 from fieldspur.fleet.foreman import Foreman
 from fieldspur.fleet.members import Members
 from fieldspur.fleet.node import BEATS, Node, caught_up, may_be, same_fleet
@@ -26,6 +26,13 @@
         self.resumed, self.decided = kept is not None, kept or agree.NOTHING
         foreman.know(self.decided.value)
 
+    def remember(self, kept: Register, now: int) -> None:
+        """What it had kept could be read only now."""
+        self.resumed = True
+        if kept.decided.mark > self.decided.mark:
+            self.decided = kept.decided
+            self.foreman.know(self.decided.value)
+
     register_of = Node.register_of
 
     def heard(self, member: int, value: dict, now: int) -> None:
--- a/fieldspur/fleet/lease.py
+++ b/fieldspur/fleet/lease.py
@@ -39,6 +39,10 @@
         self.told: dict[int, int] = {}  # tick: when it was published
         self.tick, self.ballot = 0, NO_BALLOT
 
+    def remembers(self) -> None:
+        """It has not forgotten its register: it was only late to read it."""
+        self.returns = 0
+
     def publish(self, ballot: Ballot, now: int) -> int:
         """The tick that goes into this member's register now, under its own ballot; it backs itself like the others."""
         if ballot != self.ballot:
--- a/fieldspur/fleet/node.py
+++ b/fieldspur/fleet/node.py
@@ -59,6 +59,14 @@
         self.ask_at = now + length
         self.fenced = False
 
+    def remember(self, kept: Register, now: int) -> None:
+        """What this member had kept could be read only now. It has said nothing yet, nor come back without it."""
+        self.register = agree.resume(kept, self.register.nonce)
+        self.lease.remembers()
+        self.ask_at = now + self.lease.length
+        if self.foreman is not None:
+            self.foreman.know(self.register.decided.value)
+
     # What comes in.
 
     def heard(self, member: int, value: dict, now: int) -> None:
--- a/fieldspur/fleet/store.py
+++ b/fieldspur/fleet/store.py
@@ -9,6 +9,7 @@
 import hashlib
 import json
 import logging
+import os
 import sqlite3
 from pathlib import Path
 
@@ -27,21 +28,32 @@
     return hashlib.sha256(f"{fleet}\n{member}\n{text}".encode()).hexdigest()
 
 
+class NotRead(NotKept):
+    """What was kept can't be read now: neither spoilt nor forgotten. It is to be asked for again."""
+
+
+def passes(error: sqlite3.Error) -> bool:
+    """Whether an error speaks of the disk or of the system, which may work again, and not of what is in the file."""
+    code = getattr(error, "sqlite_errorcode", None)
+    return isinstance(error, sqlite3.OperationalError) and (code is None or code & 0xFF != sqlite3.SQLITE_ERROR)
+
+
 class Store:
-    """In `folder`, of one member of the fleet named so. Raises NotKept where the folder can't be used at all."""
+    """In `folder`, of one member of the fleet named so. Raises NotKept where there is no such folder."""
 
     def __init__(self, folder: str | Path, fleet: str, member: int, members: int):
         self.fleet, self.member, self.members = fleet, member, members
         self.path = Path(folder) / FILE
         self.base: sqlite3.Connection | None = None
         try:
-            self.open()
-        except sqlite3.OperationalError as wrong:
-            raise NotKept(f"{self.path}: {wrong}") from None
-        except sqlite3.DatabaseError as wrong:  # no database, or a spoilt one
-            self.set_aside(str(wrong))
+            os.listdir(folder)
+        except (FileNotFoundError, NotADirectoryError) as wrong:
+            raise NotKept(f"{folder}: {wrong.strerror}") from None
+        except OSError:
+            pass  # it is there, and `load` tells more
 
     def open(self) -> None:
+        self.close()
         self.base = sqlite3.connect(self.path, timeout=2.0, isolation_level=None, check_same_thread=False)
         self.base.execute("pragma journal_mode = delete")
         self.base.execute("pragma synchronous = extra")  # the folder's entry too
@@ -57,13 +69,20 @@
             self.path.replace(self.path.with_suffix(".spoilt"))
             self.open()
         except (OSError, sqlite3.Error) as wrong:
-            raise NotKept(f"{self.path}: {wrong}") from None
+            self.close()
+            raise NotRead(f"{self.path}: {wrong}") from None
 
     def load(self) -> Register | None:
-        """What was kept last; None where nothing was, or what is there is not whole."""
+        """What was kept last; None where nothing was, or what is there is not whole. Raises NotRead where that can't be told now. Guards
+        against a disk that fails for a while: sqlite rolls back what a kill left half written before it reads, and can't then."""
         try:
+            if self.base is None:
+                self.open()
             row = self.base.execute("select body, sum from register where fleet = ? and member = ?", (self.fleet, self.member)).fetchone()
-        except sqlite3.DatabaseError as wrong:
+        except sqlite3.Error as wrong:
+            if passes(wrong):
+                self.close()
+                raise NotRead(f"{self.path}: {wrong}") from None
             self.set_aside(str(wrong))
             return None
         if row is None:
@@ -83,6 +102,8 @@
         """It is on disk when this comes back; raises NotKept, and then what was kept before still is."""
         body = json.dumps(words.value(register), separators=(",", ":"))
         try:
+            if self.base is None:
+                self.open()
             self.base.execute(
                 "insert or replace into register values (?, ?, ?, ?)",
                 (self.fleet, self.member, body, checksum(self.fleet, self.member, body)),
--- a/fieldspur/fleet/talk.py
+++ b/fieldspur/fleet/talk.py
@@ -17,9 +17,10 @@
 from fieldspur.fleet.foreman import Foreman, bare
 from fieldspur.fleet.node import Node
 from fieldspur.fleet.overlay import Overlay
-from fieldspur.fleet.store import NotKept, Store
+from fieldspur.fleet.store import NotKept, NotRead, Store
 from fieldspur.fleet.wishes import wishes_of
 from fieldspur.net.board import Board
+from fieldspur.net.holds import contained, keep_running
 from fieldspur.operators import Fleet, member
 from fieldspur.record import replace
 
@@ -102,7 +103,8 @@
         votes = own in self.names
         me = self.names.index(own) if votes else 0
         self.store = Store(wishes.folder, wishes.name if votes else f"{wishes.name}, followed", me, many) if wishes.folder else None
-        kept = self.store.load() if self.store else None
+        self.unread = ""  # why what was kept can't be read yet: until then this member does not know what it may have promised
+        kept = self.kept_at_start()
         site, bounds = overlay.site, wishes.bounds
         longest = max((rule.limit for rule in site.rules), default=0)
         self.foreman = Foreman(
@@ -116,11 +118,6 @@
             max(site.fleet["cache_cold"][1], site.fleet["parent_cold"][1]),
         )
         self.foreman.wishes, self.foreman.left = wishes_of(wishes.work, "fleet.work"), list(wishes.left)
-        try:
-            for said in (kept.accepted, kept.said, kept.decided) if kept is not None else ():
-                work.read(said.value)
-        except work.BadOrder as wrong:
-            raise NotKept(f"what was kept is of another version: {wrong}") from None
         if votes:
             register = agree.resume(kept, nonce) if kept is not None else agree.blank(me, many, nonce)
             self.node = Node(wishes.name, register, many, now(), length, seed, kept is None, self.foreman)
@@ -129,7 +126,7 @@
             self.node = Follower(wishes.name, own, nonce, many, now(), length, self.foreman, kept.decided if kept else None)
         self.votes = votes
         self.every = min(EVERY, self.node.beat / 1e9)
-        self.kept, self.failed, self.acting, self.life = kept, False, False, kept.life if votes and kept else 0
+        self.kept, self.failed, self.acting, self.life = kept, bool(self.unread), False, kept.life if votes and kept else 0
         self.rev, self.data, self.last = 0, b"", {}
         self.known = threading.Event()  # set once this member knows what is out, or that nobody does
         self.unsure, self.shown = frozenset(), work.NOTHING  # what may only be used by lease; the document last logged
@@ -155,7 +152,48 @@
         threads = [("fleet", self.run), ("fleet-listen", self.accept)]
         threads += [(f"fleet-{peer.name}", peer.run) for peer in self.peers]
         for name, run in threads:
-            threading.Thread(target=run, name=name, daemon=True).start()
+            threading.Thread(target=keep_running, args=(name, run), name=name, daemon=True).start()
+
+    # What was kept.
+
+    def load(self) -> agree.Register | None:
+        """What the store holds. Raises NotRead where that can't be told now, NotKept where it is of another version."""
+        kept = self.store.load()
+        try:
+            for said in (kept.accepted, kept.said, kept.decided) if kept is not None else ():
+                work.read(said.value)
+        except work.BadOrder as wrong:
+            raise NotKept(f"what was kept is of another version: {wrong}") from None
+        return kept
+
+    def kept_at_start(self) -> agree.Register | None:
+        """Guards against a disk that fails at a start, which is no reason not to serve: what was kept is asked for again."""
+        if self.store is None:
+            return None
+        try:
+            return self.load()
+        except NotRead as wrong:
+            self.not_read(wrong)
+            return None
+
+    def not_read(self, wrong: NotKept) -> None:
+        if str(wrong) != self.unread:
+            self.unread = str(wrong)
+            log.error("not_read", extra={"kv": {"why": self.unread}})
+
+    def read_again(self) -> None:
+        """Until what was kept can be read, a member that votes says nothing, and so counts as one that is not there; what others settle it
+        hears and goes by. Nothing is written meanwhile."""
+        try:
+            kept = self.load()
+        except NotKept as wrong:
+            return self.not_read(wrong)
+        with self.lock:
+            if kept is not None:
+                self.node.remember(kept, now())
+                self.life = kept.life if self.votes else 0
+            self.kept, self.unread, self.failed = kept, "", False
+        log.info("read", extra={"kv": {"memory": kept is not None}})
 
     # Of the node, one at a time.
 
@@ -184,6 +222,8 @@
             if self.node.fenced != fenced:  # it says no more, and goes by what it knew until its lease on that has ended
                 fenced = True
                 log.error("fenced", extra={"kv": {"why": "a later process of this name is a member; this one takes part no more"}})
+            if self.unread:
+                self.read_again()
             if time.monotonic() - looked >= (LOOK_BACK if self.foreman.back() else LOOK):
                 looked = time.monotonic()
                 self.overlay.look(self.looked)
@@ -229,7 +269,7 @@
                 self.node.members.forget(name)
         for n, name in enumerate(sorted(wanted - set(self.followers)) if yes else ()):
             peer = self.followers[name] = Peer(self, name, member(members[name])[0], self.seed + len(self.names) + n)
-            threading.Thread(target=peer.run, name=f"fleet-{name}", daemon=True).start()
+            threading.Thread(target=keep_running, args=(f"fleet-{name}", peer.run), name=f"fleet-{name}", daemon=True).start()
         for peer in self.followers.values():
             peer.want(yes)
 
@@ -314,6 +354,8 @@
             try:
                 if not self.votes:
                     raise ValueError("this member does not vote")
+                if self.unread:
+                    raise ValueError("what this member kept can't be read yet")
                 self.node.found()
                 self.keep()
             except ValueError as wrong:
@@ -322,7 +364,7 @@
 
     def keep(self) -> None:
         """What is not on disk is not so: this member goes on from what is, and says nothing new."""
-        if self.store is None:
+        if self.store is None or self.unread:
             return
         register = (
             self.node.register
@@ -346,6 +388,8 @@
     # The line.
 
     def publish(self) -> None:
+        if self.unread and self.votes:
+            return
         with self.lock:
             line = self.node.line()
             without = bare(line)
@@ -365,7 +409,7 @@
                 log.error("accept", extra={"kv": {"why": str(wrong)}})
                 time.sleep(EVERY)
                 continue
-            if self.watchers >= 4 * len(self.wishes.members) + SPARE:
+            if self.unread and self.votes or self.watchers >= 4 * len(self.wishes.members) + SPARE:
                 conn.close()
                 continue
             try:
@@ -406,6 +450,8 @@
                     conn.sendall(data)
         except OSError:
             pass  # it comes again
+        except Exception:
+            contained.note("fleet-watcher")
         finally:
             with self.told:
                 self.watchers -= 1
--- a/tests/test_fleet_disk.py
+++ b/tests/test_fleet_disk.py
@@ -33,7 +33,9 @@
 
 
 def test_routers_that_start_on_a_failing_disk_serve_and_count_again_with_what_they_kept(routers):
-    """Seen from outside: a disk that failed for 2 s in 6 while seven of ten routers were killed and came back left a router down."""
+    """Seen from outside: a disk that failed for 2 s in 6 while seven of ten routers were killed and came back left a router down. sqlite
+    rolls back what a kill left half written before it reads; where it can't, the start took its error for a folder that can't be used, and
+    ended with code 2 ("fleet.folder: ...fleet.sqlite3: disk I/O error"). Now it serves, and is a member once it has read that."""
     fleet = routers(3, disk=True, failing=True)
     fleet.found()
     promised = max(fleet.said(n)["register"]["promised"] for n in range(3))
