Failing test: a first write that fails after a restart brings the process before back

Found by reading Talk.keep: what it falls back to is the register as it was read, with the nonce, ballots and proposals of the process before, which agree.resume leaves out on purpose. Seen: the old nonce in all three members' lines while their disks fail.

--- a/tests/test_fleet_disk.py
+++ b/tests/test_fleet_disk.py
@@ -3,6 +3,7 @@
 import sqlite3
 import subprocess
 import sys
+import time
 
 import pytest
 from helpers import until
@@ -70,6 +71,23 @@
     fleet.found(1)
 
 
+def test_a_first_write_that_fails_after_a_restart_does_not_bring_the_process_before_back(routers):
+    """What it had asked and said was taken up again, with the number of the process before, under which others may still count it."""
+    fleet = routers(3, disk=True, failing=True)
+    fleet.found()
+    before = [fleet.said(n)["register"]["nonce"] for n in range(3)]
+    for n in range(3):
+        fleet.kill(n)
+        fleet.shims[n].rate("disk", 1000)
+    for n in range(3):
+        fleet.restart(n)
+    assert all(served(fleet.all[n]) for n in range(3))
+    time.sleep(1.0)
+    said = [fleet.said(n) for n in range(3)]
+    assert not any(one and one["register"]["nonce"] in before for one in said)
+    assert not any(one and one["register"]["asked"][0] for one in said)
+
+
 def test_what_can_t_be_read_now_is_neither_spoilt_nor_forgotten(tmp_path):
     store = Store(tmp_path, "valley", 1, 3)
     store.keep(register(3))
