What fails to be kept after a restart falls back to the register as this process took it up

Callers: none seen; a member could count as who acts under a ballot of the process before it, so that two might act on machines out for work.

Cause: Talk.keep fell back to the register as it was read from the disk; agree.resume takes its nonce, asked ballot and proposal out for this process. Evidence: the old nonce in all three members' lines while their disks fail. Change: what was kept counts as kept in the form in which this process took it up, also where it could be read only later. Holds because the register on disk and the one taken up differ only in what resume leaves out at each start.

--- a/fieldspur/fleet/talk.py
+++ b/fieldspur/fleet/talk.py
@@ -122,6 +122,7 @@
             register = agree.resume(kept, nonce) if kept is not None else agree.blank(me, many, nonce)
             self.node = Node(wishes.name, register, many, now(), length, seed, kept is None, self.foreman)
             self.foreman.know(register.decided.value)
+            kept = register if kept is not None else None  # as this process takes it up: what fails to be kept falls back to it
         else:
             self.node = Follower(wishes.name, own, nonce, many, now(), length, self.foreman, kept.decided if kept else None)
         self.votes = votes
@@ -191,7 +192,8 @@
         with self.lock:
             if kept is not None:
                 self.node.remember(kept, now())
-                self.life = kept.life if self.votes else 0
+                if self.votes:
+                    kept, self.life = self.node.register, kept.life
             self.kept, self.unread, self.failed = kept, "", False
         log.info("read", extra={"kv": {"memory": kept is not None}})
 
--- a/tests/test_fleet_disk.py
+++ b/tests/test_fleet_disk.py
@@ -68,11 +68,15 @@
     fleet.restart(0)
     assert served(fleet.all[0])
     fleet.shims[0].rate("disk", 0)
+    nonce = until(lambda: fleet.said(0))["register"]["nonce"]
+    until(lambda: all(fleet.said(n)["register"]["seen"][0][0] == nonce for n in (1, 2)))  # an operator's word is for the processes heard
     fleet.found(1)
 
 
 def test_a_first_write_that_fails_after_a_restart_does_not_bring_the_process_before_back(routers):
-    """What it had asked and said was taken up again, with the number of the process before, under which others may still count it."""
+    """Found by reading, and seen in all three members' lines: while disks failed they published the number (nonce) of the process before.
+    `Talk.keep` fell back to the register as it was read from the disk, with that one's ballot and proposal, under which others may still
+    count it as who acts. Now it falls back to the register as this process took it up (`agree.resume`)."""
     fleet = routers(3, disk=True, failing=True)
     fleet.found()
     before = [fleet.said(n)["register"]["nonce"] for n in range(3)]
