Failing tests: the laboratory ends without figures, and can't play a disk that fails under a fleet

Here: a router that ends at its start (which a failing disk did to it) ends the play with LabFailed; a fault that a play does not know ends it with KeyError in its middle. Red once each; a router that does not come back after a kill gives figures already.

--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -179,3 +179,39 @@
     with pytest.raises(BadFile) as wrong:
         small(**change)
     assert said in str(wrong.value)
+
+
+DIES = """
+import os, pathlib, sys, time
+from fieldspur.__main__ import main
+marks = pathlib.Path(os.environ["LB_CONFIG"]).parent
+mark = marks / ("started-" + pathlib.Path(os.environ["LB_CONFIG"]).name)
+{how}
+sys.exit(main())
+"""
+NEVER_BACK = DIES.format(how="if mark.exists(): sys.exit(2)\nmark.touch()")
+NEVER_THERE = DIES.format(how="if 'node-1' in str(mark): sys.exit(2)")
+
+
+@pytest.mark.parametrize("code", [NEVER_BACK, NEVER_THERE], ids=["never_back", "never_there"])
+def test_the_laboratory_gives_its_figures_whatever_the_routers_do(code):
+    """Seen from outside: a play whose routers did not come back ended with code 1 and no figures."""
+    found = play.play(small(seconds=8), command=[sys.executable, "-O", "-c", code])
+    assert not found["passed"] and found["crashed"] and found["completed"] > 0
+
+
+def test_a_fault_that_a_play_does_not_know_is_refused_by_its_key():
+    with pytest.raises(BadFile, match=r"faults\[0\].what: watch_cut"):
+        play.play(small(faults=[{"at": 3, "what": "watch_cut", "who": "0", "lasts": 1}]))
+
+
+def test_a_disk_that_fails_is_played_and_costs_no_router():
+    """Ten seconds of what was seen from outside: the disk fails for 2 s while all but one are killed and come back."""
+    faults = [
+        {"at": 4, "what": "disk_fails", "who": "0,1,2", "lasts": 2, "times": 1000},
+        {"at": 4.3, "what": "router_kill", "who": "0,1", "lasts": 0.5},
+    ]
+    expect = {"completed": 0.8}
+    found = play.play(small(seconds=10, faults=faults, expect=expect, fleet=SMALL["fleet"] | {"folder": True, "work": []}))
+    assert found["passed"], found["missed"]
+    assert found["calls_failed"]["disk"] > 0
