The laboratory gives its figures whatever its routers do, and plays a failing disk under a fleet

Seen: a play of a failing disk ended with code 1 and no figures. Cause: a router that ends at its start, a fleet that does not begin, and a fault that the play does not know each ended it. Which of the first two it was from outside is not known.

Faults that are not played are refused by key (BadFile). The shim's faults moved from the soak's play to Play, so that the rig plays them too; the twins of 'over' in Soak and Rig are one.

--- a/fieldspur/lab/plays/far.py
+++ b/fieldspur/lab/plays/far.py
@@ -50,7 +50,7 @@
     "ROOT_FAIL": ORIGIN_FAILED,
 }
 WORDS = {"ACK": "completed", "NOENT": "missing", "AGAIN": "full", "EIO": "error"}
-KNOWN = ("die", "silent", "slow", "late", "errors", "drain", "restart", "purge", "store_slow")
+KNOWN = Faults.PLAYED - {"stop"}
 
 
 class Clock:
--- a/fieldspur/lab/soak/shim.py
+++ b/fieldspur/lab/soak/shim.py
@@ -16,6 +16,15 @@
 DIAL_AT = HEAD.size + FIELD.size * len(RATES)
 FIRED_AT = DIAL_AT + FIELD.size
 COUNTED = (*RATES, "dial")
+CALLS = {  # faults of a scenario, and the rate that each sets
+    "accept_fails": "accept",
+    "socket_fails": "socket",
+    "connect_fails": "connect",
+    "interrupted": "eintr",
+    "short_io": "shorten",
+    "broken_io": "broken",
+    "disk_fails": "disk",
+}
 SIZE = FIRED_AT + FIELD.size * len(COUNTED) + 64
 
 
