--- /dev/null
+++ b/tests/test_purges.py
@@ -0,0 +1,67 @@
+"""Purges that bind: what they say of copies, and what a further one costs while many bind."""
+
+import random
+import time
+
+from fieldspur.decide import MS, SECOND, Purges
+from fieldspur.permissions import AttemptRules
+
+SPAN = 10 * SECOND
+BOUND = 5  # times that a further purge may cost with a hundred times as many that bind: a small constant, for it is to be the same
+
+
+class AllKept:
+    """The rule in its plainest words: every purge is looked at, and one binds for twice the span."""
+
+    def __init__(self):
+        self.told = []
+
+    def note(self, now, obj, group, age):
+        self.told.append((obj, None if obj is not None else group, now - age))
+
+    def oldest_copy(self, now, obj, group, fresh):
+        made = max((at for o, g, at in self.told if now - at <= 2 * SPAN and (o == obj if o is not None else g == group)), default=0)
+        return min(max(1000, now - made), fresh or now) if made else 0
+
+
+def test_purges_bind_as_their_rule_says_however_they_come():
+    for seed in range(30):
+        chance, purges, rule, now = random.Random(seed), Purges(SPAN), AllKept(), 1000 * SECOND
+        for _ in range(300):
+            now += chance.choice((0, 1, 300 * MS, 3 * SECOND))
+            obj, group = chance.choice((None, "a", "b", "c")), chance.randrange(3)
+            age = chance.choice((0, 5 * MS, SPAN, 2 * SPAN, 3 * SPAN))
+            purges.note(now, obj, group, age), rule.note(now, obj, group, age)
+            for asked in ("a", "b", "c", "d"):
+                for family in range(3):
+                    fresh = chance.choice((0, SECOND))
+                    assert purges.oldest_copy(now, asked, family, fresh) == rule.oldest_copy(now, asked, family, fresh)
+
+
+def cost(note, binding, further=300):
+    """Seconds that a further purge takes at the least, of five tries, with so many that bind."""
+    for n in range(binding):
+        note(f"{n:016x}", n)
+    found = []
+    for lap in range(5):
+        began = time.perf_counter()
+        for n in range(further):
+            note(f"{binding + lap * further + n:016x}", binding + lap * further + n)
+        found.append((time.perf_counter() - began) / further)
+    return min(found)
+
+
+def test_a_further_purge_costs_the_router_the_same_however_many_bind():
+    def fresh():
+        purges = Purges(SPAN)
+        return lambda name, n: purges.note(1000 * SECOND + n * MS // 10, name, 0, 0)
+
+    assert cost(fresh(), 20_000) < BOUND * cost(fresh(), 200)
+
+
+def test_a_further_purge_costs_attempts_the_same_however_many_bind():
+    def fresh():
+        rules = AttemptRules(10 * SECOND)
+        return lambda name, n: rules.purge_told(name, 1000 * SECOND + n * MS // 10)
+
+    assert cost(fresh(), 20_000) < BOUND * cost(fresh(), 200)
