A fleet's view of the list keeps what stands and the last 256 that are gone

Callers: none seen here; memory of a router with a fleet grew with each server name that was ever listed, and each change of the list took longer.

Cause: Overlay.rows lost a name only with a complete list, Overlay.back never, and Overlay.listings was built anew of all rows with each change. Change: rows of servers that are gone are kept in the order in which they went, 256 at most beside those that are kept off (an order on one of them goes by its last row); a change makes the listings of its own rows only. Holds because every row that is gone passes through that queue.

--- a/fieldspur/fleet/overlay.py
+++ b/fieldspur/fleet/overlay.py
@@ -17,6 +17,7 @@
 from fieldspur.site import MS
 
 SECOND = 1_000_000_000
+GONE_KEPT = 256  # servers that are gone, beside those that stand
 TURNED_SPAN = 4 * SECOND  # in which most of what was turned away is forgotten: single seconds of few txns tell nothing
 
 
@@ -34,6 +35,7 @@
         self.kinds = {name: "parent" if n == fleet["parent_kind"] else "cache" for n, name in enumerate(kinds) if n != fleet["origin_kind"]}
         self.lock = threading.Lock()
         self.rows: dict[str, Listed] = {}
+        self.gone: dict[str, None] = {}  # names of those rows that are gone, in the order in which they went
         self.off: frozenset = frozenset()
         self.back: dict[str, int] = {}  # machine: Unix ns at which it was heard to be back
         self.backs: frozenset = frozenset()  # (machine, number) that were heard
@@ -56,21 +58,30 @@
     def list_told(self, change: ListChange, now: bool = False) -> None:
         with self.lock:  # one list change after the other; the thread of the board gathers meanwhile and waits for nobody
             if change.complete:
-                self.rows = {}
+                self.rows, self.gone, self.listings = {}, {}, {}
             self.rows |= {row.name: row for row in change.servers}
-            self.listings = {
-                name: Listing(
-                    row.state,
-                    row.started // MS,
-                    "%s:%d" % row.address,
-                    row.zone,
-                    self.kinds.get(row.kind, "") if row.zone in self.site.zones else "",
-                    row.rating,
-                )
-                for name, row in self.rows.items()
-            }
+            # A new dict each time: who goes by the listings sees by that that they are others.
+            self.listings = self.listings | {row.name: self.listing(row) for row in change.servers}
+            for row in change.servers:
+                self.gone.pop(row.name, None)
+                if row.state == "gone":
+                    self.gone[row.name] = None
+            self.forget_gone()
             self.route.list_told(ListChange(change.complete, tuple(map(self.shown, change.servers))), now)
 
+    def listing(self, row: Listed) -> Listing:
+        kind = self.kinds.get(row.kind, "") if row.zone in self.site.zones else ""
+        return Listing(row.state, row.started // MS, "%s:%d" % row.address, row.zone, kind, row.rating)
+
+    def forget_gone(self) -> None:
+        """Of servers that are gone, those that went last are kept, and what is kept off: guards against names that never come again."""
+        if len(self.gone) <= GONE_KEPT:
+            return
+        for name in list(self.gone)[:-GONE_KEPT]:
+            if name not in self.off:
+                del self.gone[name], self.rows[name], self.listings[name]
+                self.back.pop(name, None)
+
     def shown(self, row: Listed) -> Listed:
         if row.state == "up" and row.name in self.off:
             return replace(row, state="draining")
