A change of the list looks at each listed server once, and makes the orders anew only where they change

Cause, by timing the parts in process with 35 servers: Fleet.list_ends took 30 us of some 60 a change; for each cache it built a tuple of all parents and compared with each, and it built the dict and the lists anew also where only states had changed. Change: one sort by attribute, lists and orders only where names, ratings, kinds or zones differ; a complete list alone looks for what it lacks.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -9,6 +9,7 @@
 import math
 import random
 from collections import OrderedDict
+from operator import attrgetter
 
 from .host import (
     FILLED,
@@ -130,6 +131,10 @@
     avoid: set = made(set)  # servers that failed it
 
 
+BY_NAME = attrgetter("name")
+RANK = attrgetter("name", "rating", "kind", "zone")  # what the order of servers for a key depends on
+
+
 def middle(values: list[float]) -> float:
     """The median."""
     values = sorted(values)
@@ -253,20 +258,23 @@
             self.listed.add(name)
 
     def list_ends(self) -> None:
-        for s in self.servers.values():
-            if self.listed is not None and s.name not in self.listed:
-                s.state = "gone"  # absence from a complete list is a removal
+        if self.listed is not None:
+            for s in self.servers.values():
+                if s.name not in self.listed:
+                    s.state = "gone"  # absence from a complete list is a removal
         if not self.link_fits:  # not told: a first guess, learned from there
             self.link_fits = LINK_FIRST * sum(s.fits for s in self.servers.values() if s.zone == self.zone)
-        self.servers = {n: s for n, s in self.servers.items() if s.state != "gone" or s.out or s.feeds}
-        here = sorted((s for s in self.servers.values() if s.state != "gone"), key=lambda s: s.name)
+        here = sorted([s for s in self.servers.values() if s.state != "gone"], key=BY_NAME)
+        if len(here) < len(self.servers):
+            self.servers = {n: s for n, s in self.servers.items() if s.state != "gone" or s.out or s.feeds}
+        ranks = list(map(RANK, here))
+        if ranks == self.ranks:  # states and restarts leave the orders as they are
+            return
+        self.ranks = ranks
+        self.orders.clear()
         self.parents = [s for s in here if s.kind == self.parent_kind]
         self.origin = next((s for s in here if s.kind == self.origin_kind), None)
-        self.caches = [s for s in here if s.zone == self.zone and s not in (*self.parents, self.origin)]
-        ranks = [(s.name, s.rating, s.kind, s.zone) for s in here]
-        if ranks != self.ranks:  # states and restarts leave the orders as they are
-            self.ranks = ranks
-            self.orders.clear()
+        self.caches = [s for s in here if s.zone == self.zone and s.kind != self.parent_kind and s is not self.origin]
 
     def ranked(self, servers: list[Server], key: str) -> list[Server]:
         """Weighted rendezvous hashing of caches or parents, alike at all routers; health does not enter."""
