Where sizes are not told, no more is admitted to a cache than leaves a large request its time

Change: Router.bearable_crowd, by the class's learned size and spread and the time that is left. Holds because what a cache has at a time bounds how long each takes there, whatever is known of the single one.

Where sizes are told nothing changes.

--- a/fieldspur/decide.py
+++ b/fieldspur/decide.py
@@ -51,6 +51,7 @@
 ORIGIN_TRY, SLOW_TIMES = 0.2, 3.0  # ... and so few fills may ask it at the least; late: times its usual wait
 EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND  # ejection, doubling each time
 QUIET_LEAST, QUIET_TIMES, ALONE, TAIL = 300 * MS, 1.5, 2.0, 6.0  # silence; times due; one hop's; spreads
+LARGE_SPREADS = 2.0  # mean deviations above the mean: about where the largest tenth begins
 QUIET_FEW, LATE_LEARN = 12.0, 0.2  # times due, over the hops that say so; weight of a late fill
 RETRY_SHARE, RETRY_MOST, ERRORS_MOST = 0.3, 20.0, 3  # further hops a txn; saved up; errors that end a txn
 SEEN_SPAN, TOLD_SPAN, BUSY = 4 * SECOND, 1500 * MS, 0.85  # how long crowding seen counts; told; a busy cache
@@ -562,6 +563,8 @@
             worth = 1.0  # no less than the others'
         filling, fetch = 0.0 if known or rule.never_kept else self.fleet.miss_share, True
         crowd = CROWD_LEAST + min(CROWD_MOST, worth)
+        if not txn.sized:
+            crowd = min(crowd, self.bearable_crowd(txn, now))
         follow = leader.hops[-1].server if leader is not None and leader.hops else None
         fleet = self.fleet
         order = fleet.order(txn.obj, txn.part)
@@ -626,6 +629,12 @@
         )  # a hit that renews is a fill, too
         hop.due = self.at(now + self.patience(hop, now, len(server.out)), self.hop_due, hop)
 
+    def bearable_crowd(self, txn: Txn, now: int) -> float:
+        """The crowd at which a large request of this rule still ends in the time that is left: guards the largest, whose size nobody
+        tells, against running out of time on their only hop."""
+        large = self.works[txn.rule_at] + LARGE_SPREADS * self.spreads[txn.rule_at]
+        return max(1.0, (txn.limit_at - now - self.first_byte_after) / max(large, MS))
+
     def may_send(self, txn: Txn, server: Server, now: int) -> bool:
         """Guards against an effect that happens twice."""
         return repeat_refusal(txn.rule, [h for h in txn.hops if h.ran], server, now) is None
