--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -15,6 +15,8 @@
 from test_crossings import entered, joins, stays, taken
 from test_first_bytes import route_to, row
 
+from fieldspur import operators
+from fieldspur.__main__ import files_of
 from fieldspur.decide import MS, SECOND
 from fieldspur.lab.soak import shim
 from fieldspur.net import board as board_module
@@ -353,3 +355,21 @@
     assert client.unread() is False
     client.sock.ending.join()
     assert client.unread() is False and here.fileno() < 0
+
+
+def test_an_operators_file_that_can_not_be_opened_for_a_moment_is_read_after_it(run, tmp_path, monkeypatch):
+    """Found by reading: only the node's file was asked for again, so that a start in that moment ended, and a reload was refused."""
+    service = run(Cache(), operators={"counts": {"every_s": 7.0}})
+    left = [errno.EMFILE, errno.ENFILE, errno.ENOMEM]
+
+    def fails(path, *about):
+        if left:
+            raise OSError(left.pop(), "for a moment")
+        return open(path, *about)
+
+    monkeypatch.setattr(operators, "open", fails, raising=False)
+    _, wishes = files_of({"LB_CONFIG": str(service.path), "LB_OPERATORS": str(service.folder / "operators.json")})
+    assert wishes.counts.every_s == 7.0 and not left
+    left.append(errno.EACCES)
+    with pytest.raises(operators.BadFile, match="for a moment"):
+        files_of({"LB_CONFIG": str(service.path), "LB_OPERATORS": str(service.folder / "operators.json")})
