An operators' file that can't be opened for a moment is asked for again, like the node's

Callers: a router that started in such a moment ended with code 2; a reload in it was refused.

Cause: files_of asked again for Unopened, which only the node's file raises; the operators' raised BadFile without the system's errno. Change: UnopenedFile with it; the two loops that ask again (files_of, listen_at) are one, holds.asked_again, by permissions.may_try_again. Holds because every failure of either file now carries its errno to the one place that decides. EACCES still ends at once (test).

--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -15,14 +15,14 @@
 from fieldspur.net.admit import Admit
 from fieldspur.net.board import Board
 from fieldspur.net.book import Book
-from fieldspur.net.holds import contained, keep_running
+from fieldspur.net.holds import asked_again, contained, keep_running
 from fieldspur.net.now import EPOCH
 from fieldspur.net.relay import Relay
 from fieldspur.net.route import Route
 from fieldspur.net.send import Send
 from fieldspur.net.takein import TakeIn
-from fieldspur.operators import BadFile, Operators, read
-from fieldspur.permissions import Gate, GiveUp, may_exit, may_try_again
+from fieldspur.operators import BadFile, Operators, UnopenedFile, read
+from fieldspur.permissions import Gate, GiveUp, may_exit
 from fieldspur.record import replace
 from fieldspur.site import MS, BadSite, Node, Unopened, differences, read_node
 
@@ -234,14 +234,7 @@
 
 def files_of(environ) -> tuple[Node, Operators]:
     """Both files, checked. Where the system has no room to open one now, that is tried again for a while. Raises BadSite, BadFile."""
-    began = time.monotonic()
-    while True:
-        try:
-            return read_node(environ), wishes_of(environ)
-        except Unopened as wrong:
-            if not may_try_again(wrong.number, time.monotonic() - began):
-                raise
-        time.sleep(FILE_PAUSE)
+    return asked_again(lambda: (read_node(environ), wishes_of(environ)), (Unopened, UnopenedFile), FILE_PAUSE)
 
 
 def level_of(node: Node, wishes: Operators) -> int:
--- a/fieldspur/net/holds.py
+++ b/fieldspur/net/holds.py
@@ -10,6 +10,13 @@
 from collections.abc import Callable
 
 from fieldspur.net.logs import error_fields
+from fieldspur.permissions import may_try_again
+
+TYPE_CHECKING = False  # as typing has it, which a start does not load
+if TYPE_CHECKING:
+    from typing import TypeVar
+
+    Result = TypeVar("Result")
 
 log = logging.getLogger("fieldspur.holds")
 broken: dict[str, int] = {}  # how often each has failed, by name
@@ -57,6 +64,20 @@
 contained = Contained()
 
 
+def asked_again(call: Callable[[], Result], failures: type[Exception] | tuple[type[Exception], ...], pause_s: float) -> Result:
+    """What `call` gives. Where it fails for want of room in the system, it is called again for a while: raises the error of one that
+    goes on, and any other at once. `failures` have an `errno`."""
+    began = time.monotonic()
+    while True:
+        try:
+            return call()
+        except failures as wrong:
+            if not may_try_again(wrong.errno, time.monotonic() - began):
+                raise
+            log.warning("no_room", extra={"kv": {"why": str(wrong)}})
+        time.sleep(pause_s)
+
+
 def keep_running(name: str, run: Callable[[], None]) -> None:
     """Runs what the program can't do without, a thread's whole work, again after each unforeseen error. Raises the error of one that goes
     on and on: a program that looks alive and does not do its work is worse than none."""
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -12,12 +12,12 @@
 from fieldspur.net.admit import Admit
 from fieldspur.net.arrival import Arrivals
 from fieldspur.net.book import Answer, Book
-from fieldspur.net.holds import contained
+from fieldspur.net.holds import asked_again, contained
 from fieldspur.net.logs import ReasonCounter
 from fieldspur.net.now import AWAY, EPOCH, came, looks_at
 from fieldspur.net.relay import TICK, Outlet, Relay
 from fieldspur.net.wheel import NEVER
-from fieldspur.permissions import Accepting, ClientState, CloseReason, close_reason, may_cut, may_try_again
+from fieldspur.permissions import Accepting, ClientState, CloseReason, close_reason, may_cut
 from fieldspur.site import MS
 
 log = logging.getLogger("fieldspur.takein")
@@ -37,22 +37,19 @@
 
 def listen_at(where: tuple[str, int]) -> socket.socket:
     """A listener; where the system has no room for it now, that is tried again for a while. Raises OSError."""
-    began = time.monotonic()
-    while True:
-        sock = None
+
+    def listen() -> socket.socket:
+        sock = socket.socket()
         try:
-            sock = socket.socket()
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.bind(where)
             sock.listen(BACKLOG)
-            return sock
-        except OSError as wrong:
-            if sock is not None:
-                sock.close()
-            if not may_try_again(wrong.errno, time.monotonic() - began):
-                raise
-            log.warning("listen", extra={"kv": {"why": wrong.strerror}})
-        time.sleep(LISTEN_PAUSE)
+        except OSError:
+            sock.close()
+            raise
+        return sock
+
+    return asked_again(listen, OSError, LISTEN_PAUSE)
 
 
 class Used:
--- a/fieldspur/operators.py
+++ b/fieldspur/operators.py
@@ -16,6 +16,14 @@
     """The file can't be used; the text begins with the path of the faulty key."""
 
 
+class UnopenedFile(BadFile):
+    """The file could not be opened or read; `errno` is the system's."""
+
+    def __init__(self, text: str, errno: int | None):
+        super().__init__(text)
+        self.errno = errno
+
+
 def key(default, least, most, text: str) -> Field:
     """A figure with its bounds, both allowed, and what it is."""
     return Field(default, about={"minimum": least, "maximum": most, "description": text})
@@ -255,11 +263,12 @@
 
 
 def read(path: str) -> Operators:
+    """The file, checked. Raises BadFile, or UnopenedFile where the system does not give it."""
     try:
         with open(path, "rb") as file:
             return parse(file.read())
     except OSError as wrong:
-        raise BadFile(f"{path}: {wrong.strerror}") from None
+        raise UnopenedFile(f"{path}: {wrong.strerror}", wrong.errno) from None
 
 
 def schema() -> dict:
--- a/fieldspur/site.py
+++ b/fieldspur/site.py
@@ -24,11 +24,11 @@
 
 
 class Unopened(BadSite):
-    """The file could not be opened or read; `number` is the system's errno."""
+    """The file could not be opened or read; `errno` is the system's."""
 
-    def __init__(self, text: str, number: int | None):
+    def __init__(self, text: str, errno: int | None):
         super().__init__(text)
-        self.number = number
+        self.errno = errno
 
 
 class Part:
