The soak plays names that never come again and judges the memory that a router keeps

Change: trouble new_names, drawn by a chance of its own so that what a seed drew of the others stays; resident memory 8 s after the load against before it, bound an eighth of the limit, from the aim that what was used is given back. The peak is judged as before.

--- a/fieldspur/bench/path.py
+++ b/fieldspur/bench/path.py
@@ -47,19 +47,21 @@
 
 
 def usage(pid: int) -> dict:
-    """CPU seconds, context switches and threads of a process so far, and its memory now."""
+    """CPU seconds, context switches and threads of a process so far; its memory now and at its peak (`rss_mb`), in MiB."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     switches = {"voluntary": 0, "involuntary": 0}
     for task in Path(f"/proc/{pid}/task").iterdir():
         text = (task / "status").read_text()
         switches["voluntary"] += int(re.search(r"^voluntary_ctxt_switches:\s+(\d+)", text, re.M)[1])
         switches["involuntary"] += int(re.search(r"^nonvoluntary_ctxt_switches:\s+(\d+)", text, re.M)[1])
-    rss = int(re.search(r"VmHWM:\s+(\d+)", Path(f"/proc/{pid}/status").read_text())[1]) / 1024
+    status = Path(f"/proc/{pid}/status").read_text()
+    peak, resident = (int(re.search(rf"{name}:\s+(\d+)", status)[1]) / 1024 for name in ("VmHWM", "VmRSS"))
     return {
         "cpu": (int(fields[11]) + int(fields[12])) / TICK,
         "system": int(fields[12]) / TICK,
         "threads": int(fields[17]),
-        "rss_mb": rss,
+        "rss_mb": peak,
+        "resident_mb": resident,
         **switches,
     }
 
--- a/fieldspur/lab/judge/invariants.py
+++ b/fieldspur/lab/judge/invariants.py
@@ -51,6 +51,7 @@
         self.mean_work = float(FIRST_WORK)
         self.most_lag = 0
         self.most_memory_mb = 0.0  # the largest peak of any process
+        self.most_kept_mb = 0.0  # the most that any has after the load beyond what it had before
 
     @property
     def lag(self) -> int:
--- a/fieldspur/lab/plays/scenario.py
+++ b/fieldspur/lab/plays/scenario.py
@@ -110,12 +110,14 @@
         "mass_crash",
         "list_flaps",
         "crowd",
+        "new_names",
     ]
     who: str = ""  # a server's name, "caches", "parents", routers by number or "acting"; links: "0>1" (what 0 reads of 1), "0,1|2"
     share: float = 1.0  # of the servers that `who` names
     lasts: float = 0.0  # seconds after which it is over; 0: it stays
     # slow and store_slow: so many times longer; late, net_delay and late_dials: ms more; clock_step: seconds; failing calls: so many of
-    # a thousand; net_cut: bytes until the cut; mass_crash: ms until discovery removes them; crowd: idle connections at each router
+    # a thousand; net_cut: bytes until the cut; mass_crash: ms until discovery removes them; crowd: idle connections at each router;
+    # new_names: servers and objects a second, each once
     times: float = 10.0
     group: int = -1  # purge: of one group; below 0 all groups
     forget: bool = False  # router_kill: what it kept in its folder is lost
--- a/fieldspur/lab/soak/plan.py
+++ b/fieldspur/lab/soak/plan.py
@@ -71,6 +71,9 @@
     Trouble("list_flaps", "parents", (0.5, 1.5)),
     Trouble("crowd", "few", (2.0, 5.0), (60, 160), weight=2),
 )
+# Drawn by a further chance of their own, for the same reason: names that never come again (issue 44).
+NEWEST_TROUBLES = (Trouble("new_names", "", (2.0, 5.0), (20, 100)),)
+NEWEST_SHARE = 0.3  # of the windows that have one
 LATER_SHARE = 0.6  # of the windows that have one of them
 DEADLINES = (0.0, 0.0, 1.0, 1.5, 2.0)  # s: most that a request has; 0: what the settings say
 STAYS = (0.0, 0.3, 0.7)  # shares of connections that are used until their router is killed
@@ -114,6 +117,16 @@
     return found
 
 
+def newest_faults(chance: random.Random, seconds: float, routers: int, servers: Servers) -> list[Fault]:
+    """Of NEWEST_TROUBLES, one in some windows."""
+    starts = [FIRST_AT + WINDOW_S * n for n in range(int((seconds - QUIET_S - FIRST_AT) / WINDOW_S + 1)) if seconds - QUIET_S > FIRST_AT]
+    return [
+        fault(chance, chance.choice(NEWEST_TROUBLES), at + chance.uniform(0, SPREAD_S), routers, servers)
+        for at in starts
+        if chance.random() < NEWEST_SHARE
+    ]
+
+
 def plan(seed: int, seconds: float, routers: int | None = None) -> Scenario:
     """What the soak plays with this seed; alike each time."""
     chance = random.Random(f"soak {seed}")
@@ -150,6 +163,7 @@
         at += WINDOW_S
     later = random.Random(f"soak later {seed}")
     faults += later_faults(later, seconds, routers, servers)
+    faults += newest_faults(random.Random(f"soak newest {seed}"), seconds, routers, servers)
     load = msgspec.structs.replace(load, deadline_s=later.choice(DEADLINES), stays=later.choice(STAYS))
     faults = [one for one in faults if one.at < seconds - QUIET_S + SPREAD_S]
     return Scenario(
--- a/fieldspur/lab/soak/play.py
+++ b/fieldspur/lab/soak/play.py
@@ -32,6 +32,7 @@
 ASK_READY, READY_ANSWER = wire.HEAD.pack(5 + 1, 80, 1) + b"\0", 81
 SPARE_FILES, SPARE_THREADS = 6, 4  # above the level before the load
 MEMORY_SHARE = 0.9  # of its limit, that a router's peak stays under
+KEPT_SHARE = 1 / 8  # of its limit, that a router may keep after the load beyond what it had before
 CROWD_AT_ONCE, CROWD_PAUSE, CROWD_AFTER = 10, 20 * MS, SECOND  # idle connections opened together; until the next; until their end is seen
 
 
@@ -275,6 +276,10 @@
             self.checker.most_memory_mb = max(self.checker.most_memory_mb, now["rss_mb"])
             if now["rss_mb"] > MEMORY_SHARE * self.plan.memory_mb:
                 self.checker.broke("resources", f"router {node.number}: {now['rss_mb']:.0f} MB of {self.plan.memory_mb} at its peak")
+            kept = now["resident_mb"] - node.level["resident_mb"]
+            self.checker.most_kept_mb = max(self.checker.most_kept_mb, kept)
+            if kept > KEPT_SHARE * self.plan.memory_mb:
+                self.checker.broke("resources", f"router {node.number}: {kept:.0f} MB of {self.plan.memory_mb} kept after the load")
             for name, spare in (("files", SPARE_FILES), ("threads", SPARE_THREADS)):
                 if now[name] > node.level[name] + spare:
                     self.checker.broke("resources", f"router {node.number}: {now[name]} {name}, {node.level[name]} before the load")
@@ -295,6 +300,7 @@
             "faults": [msgspec.structs.asdict(one) for one in self.plan.faults],
             "judge_lag_ms": self.checker.most_lag // MS,
             "peak_mb": round(self.checker.most_memory_mb, 1),
+            "kept_mb": round(self.checker.most_kept_mb, 1),
             "ready_s": [round(one, 2) for one in slow],
             "again": f"fieldspur lab soak --seed {self.plan.seed} --seconds {self.plan.seconds:g}",
         }
--- a/fieldspur/lab/soak/world.py
+++ b/fieldspur/lab/soak/world.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 
 from fieldspur.bench.path import free_port
+from fieldspur.bench.plain import endpoint
 from fieldspur.lab.emulate.loop import Conn
 from fieldspur.lab.emulate.model import MS, SECOND
 from fieldspur.lab.emulate.proxy import Proxy
@@ -17,11 +19,12 @@
 class SoakWorld(World):
     """Servers behind fault proxies, which read what routers write also while a server reads nothing."""
 
-    PLAYED = World.PLAYED | {"net_delay", "net_pieces", "net_cut", "net_stall", "mass_crash", "list_flaps"}
+    PLAYED = World.PLAYED | {"net_delay", "net_pieces", "net_cut", "net_stall", "mass_crash", "list_flaps", "new_names"}
     sees_writers = True
 
     def __init__(self, *about):
         self.proxies: dict[str, Proxy] = {}
+        self.passing = itertools.count(1 << 60)  # numbers of names that never come again
         self.origins: dict[int, Conn] = {}  # connections of routers, by the local port of the one made for each
         super().__init__(*about)
 
@@ -84,6 +87,18 @@
         self.loop.later(wait, lambda: self.tell([name], "up"))
         self.loop.later(wait + self.random.randint(*FLAP) * MS, lambda: self.flap(name, until))
 
+    def new_names(self, every: int, until: int) -> None:
+        """Discovery lists a server that drains and removes it, and purges an object, none of which was named before or is again."""
+        name = f"passing-{next(self.passing)}"
+        row = endpoint(name, free_port(), "std", status="draining", weight=1.0, since_ms=0)
+        self.board.tell(
+            {"pool": {"index": 1, "snapshot": False, "endpoints": [row]}},
+            {"pool": {"index": 1, "snapshot": False, "endpoints": [row | {"status": "removed"}]}},
+            {"flush": {"asset": f"{next(self.passing):016x}", "ms": self.loop.now() // MS}},
+        )
+        if self.loop.now() + every < until:
+            self.loop.later(every, lambda: self.new_names(every, until))
+
     def other(self, fault, names: list[str]):
         proxies = [self.proxies[name] for name in names if name in self.proxies]
         if fault.what == "net_delay":
@@ -100,6 +115,8 @@
             return self.mass_crash(fault, names)
         if fault.what == "list_flaps":
             return self.list_flaps(fault, names)
+        if fault.what == "new_names":
+            return self.new_names(int(SECOND / fault.times), self.loop.now() + int(fault.lasts * SECOND))
         return super().other(fault, names)
 
     @staticmethod
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -44,7 +44,7 @@
     assert plan.plan(7, 30) == plan.plan(7, 30) != plan.plan(8, 30)
     plans = [plan.plan(seed, 30) for seed in range(40)]
     assert all(10 <= one.routers <= 32 for one in plans)
-    troubles = {trouble.what for trouble in (*plan.TROUBLES, *plan.LATER_TROUBLES)}
+    troubles = {trouble.what for trouble in (*plan.TROUBLES, *plan.LATER_TROUBLES, *plan.NEWEST_TROUBLES)}
     assert {fault.what for one in plans for fault in one.faults} >= troubles - {"disk_fails"}
     assert {one.load.deadline_s for one in plans} == set(plan.DEADLINES) and {one.load.stays for one in plans} == set(plan.STAYS)
     assert all(sum(a.at <= b.at < a.at + max(a.lasts, 1.5) for a in one.faults for b in one.faults if a is not b) for one in plans)
