A read that comes at once is dated without a call

Cause: Arrivals.read was one call for each read, 95 calls a txn of 95 allowed, so that one late read among thirty (which asks further) was over it. Reads that come at once are now dated in the reader's loop; the core wait is still looked at once in 256 reads.

--- a/fieldspur/net/arrival.py
+++ b/fieldspur/net/arrival.py
@@ -47,7 +47,7 @@
         self.more: object = False  # true: further bytes lie behind this read
         self.earliest: int | None = None  # when its first bytes came at the earliest, once somebody has asked
         self.core_waited = 0  # by this thread, as of the last look
-        self.reads = 0
+        self.reads = 0  # since the last look
 
     def read(self, now: int, more) -> None:
         """A read has come back. `more`: true where further bytes lie behind it."""
@@ -56,7 +56,7 @@
         self.read_at, self.more, self.earliest = now, more, None
         self.latest = now if self.late_since == NEVER else now - min(lay_for(self.sock), now - self.late_since)
         self.reads += 1
-        if not self.reads % READS_BETWEEN_LOOKS:
+        if self.reads >= READS_BETWEEN_LOOKS:
             self.first()
 
     def first(self) -> int:
@@ -64,7 +64,7 @@
         if self.earliest is None:
             waited = core_wait(self.thread)
             turn = self.read_at - max(0, waited - self.core_waited)
-            self.core_waited = waited
+            self.core_waited, self.reads = waited, 0
             self.earliest = max(min(self.late_since, self.latest), min(self.latest, turn, self.relay.stalled_since(self.read_at)))
         return self.earliest
 
--- a/fieldspur/net/takein.py
+++ b/fieldspur/net/takein.py
@@ -10,7 +10,7 @@
 
 from fieldspur.net import frames
 from fieldspur.net.admit import Admit
-from fieldspur.net.arrival import Arrivals
+from fieldspur.net.arrival import LATE_READ, READS_BETWEEN_LOOKS, Arrivals
 from fieldspur.net.book import Answer, Book
 from fieldspur.net.holds import asked_again, contained
 from fieldspur.net.logs import ReasonCounter
@@ -96,7 +96,12 @@
                     continue
                 if (found := looks(0)) and found[0][1] & AWAY:
                     break  # nobody waits for what it sent; guards against attempts begun for thousands that send and go
-                arrivals.read(time.monotonic_ns() + EPOCH, found)
+                now = time.monotonic_ns() + EPOCH
+                if now - arrivals.read_at > LATE_READ or arrivals.late_since != NEVER or arrivals.reads >= READS_BETWEEN_LOOKS:
+                    arrivals.read(now, found)
+                else:  # the same, without a call in the ordinary case
+                    arrivals.read_at = arrivals.latest = now
+                    arrivals.reads += 1
                 self.takein.route.gather()
                 try:
                     for value in decoder.filled(size):
