A play refuses unknown faults as it begins, so that no list of later ones is kept beside

From reading the change back: Rig and Soak named their own faults twice, in LATER and where they add them. The look is made in run, once both are there. The whole suite was not run again after this; nothing of it is loaded in run.

--- a/fieldspur/lab/plays/play.py
+++ b/fieldspur/lab/plays/play.py
@@ -123,7 +123,6 @@
 class Play:
     NODE, WORLD, LOAD = Node, World, Load
     SHIMS = False  # routers run under the fault shim also where no fault of the scenario wants it
-    LATER: frozenset[str] = frozenset()  # faults that a subclass adds to those of the world
 
     def make_checker(self) -> Checker:
         return Checker(self.plan.servers.fall_multiple, routers=self.plan.routers)
@@ -148,7 +147,6 @@
         }
         if self.SHIMS or any(fault.what in shim.CALLS for fault in plan.faults):
             self.put_shims()
-        self.refuse_unknown()
         self.load: Load | None = None
         self.missing: list[Node] = []  # routers that did not come up before the load
         self.curve: list[dict] = []
@@ -156,7 +154,7 @@
     def refuse_unknown(self) -> None:
         """Raises BadFile where the scenario names a fault that is not played here: it would end the play in its middle."""
         for n, fault in enumerate(self.plan.faults):
-            if fault.what not in self.world.PLAYED and fault.what not in self.world.others and fault.what not in self.LATER:
+            if fault.what not in self.world.PLAYED and fault.what not in self.world.others:
                 raise BadFile(f"faults[{n}].what: {fault.what} is not played here")
 
     def put_shims(self) -> None:
@@ -265,6 +263,7 @@
 
     def run(self) -> dict:
         try:
+            self.refuse_unknown()
             for node in self.nodes:
                 node.start()
             end = time.monotonic() + READY_WAIT
--- a/fieldspur/lab/plays/rig.py
+++ b/fieldspur/lab/plays/rig.py
@@ -61,7 +61,6 @@
 
 class Rig(Play):
     NODE = Member
-    LATER = frozenset(("router_hup", "link_cut", "link_stall", "link_delay", "link_lose"))
 
     def __init__(self, plan, *about):
         super().__init__(plan, *about)
--- a/fieldspur/lab/soak/play.py
+++ b/fieldspur/lab/soak/play.py
@@ -39,7 +39,6 @@
 class Soak(Play):
     NODE, WORLD, LOAD = SoakNode, SoakWorld, SoakLoad
     SHIMS = True
-    LATER = frozenset(("clock_step", "late_dials", "watch_stall", "watch_cut", "crowd"))
 
     def __init__(self, plan, build, logs, command, live):
         self.kept_logs = tempfile.TemporaryDirectory(prefix="fieldspur-soak-") if logs is None else None
