Serve each request on a stream number that is new on its connection

Cause: UsedStreams.use gave the same False for "used before" and for "4,096 numbers are kept above the smallest unused one". A gap at the start never closes. Evidence: log line `stream used again` for a stream that was never used; 4098 is the first number refused where a connection starts at 2; every order that leaves a gap fails, none without. Ruled out: the bound alone (lifting it passes the case and keeps every number of a connection for ever).

Change: used numbers are kept as ranges, 256 at most; beyond that the range that was not added to for the longest time is forgotten. A new number is never refused. What is used is known without a gap from 1 on, and for the last 256 numbers at least. A stream with an open request is refused whatever is forgotten. This works because the only answer that bounded memory can give wrongly is now "new" for a number that a client should not have used again; before it was "used" for a number that it may use.

The soak's clients number their requests in four ways now; all counted 1, 2, 3 before, so no soak could find this.

--- a/fieldspur/lab/runs/load_generator.py
+++ b/fieldspur/lab/runs/load_generator.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -27,7 +28,8 @@
 
     def __init__(self, load: LoadGenerator, router: int, slow: bool = False):
         self.load, self.router, self.slow = load, router, slow
-        self.stream, self.open, self.router_ending = 0, {}, False
+        self.stream_numbers = itertools.count(1)
+        self.stream, self.open, self.router_ending = 0, {}, False  # stream: the number of the last request
         self.conn = load.loop.connect(load.addresses[router], window=4096 if slow else 0)
         self.conn.on_data, self.conn.on_close = self.receive, self.closed
 
@@ -35,7 +37,7 @@
         """Sends one try of the txn."""
         load, now = self.load, self.load.loop.now()
         time_left = (txn.limit_at - now) // MS
-        self.stream += 1
+        self.stream = next(self.stream_numbers)
         ident = f"{load.random.getrandbits(64):016x}"
         fields = {"verb": txn.rule, "txn": ident, "limit": str(time_left)}
         if txn.key:
--- a/fieldspur/lab/soak/clients.py
+++ b/fieldspur/lab/soak/clients.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 import random
+from collections.abc import Iterator
 
 from fieldspur.lab.checks.invariants import LOST_AFTER
 from fieldspur.lab.checks.outcomes import Txn
@@ -12,6 +14,25 @@
 CLIENT_IDLE_TIMEOUT = 4 * SECOND  # clients close a connection without open requests after this
 MAX_PERSISTENT_REQUESTS = 8  # open requests on a connection that a client uses until the connection ends
 ENDING_NOTICE_DELAY = 500 * MS  # most clients send requests on old connections for up to this long after SIGTERM
+LARGEST_STREAM = 2**32 - 1  # of the client protocol
+MAX_STREAM_GAP = 1000
+
+
+def stream_numbers(chance: random.Random) -> Iterator[int]:
+    """Stream numbers of one connection, by one of the ways in which a client may number its requests: without gaps, up or down with
+    gaps, or without any order."""
+    way = chance.choice(("no gaps", "up", "down", "no order"))
+    if way == "no gaps":
+        yield from itertools.count(1)
+    number, used = LARGEST_STREAM + 1 if way == "down" else 0, set()
+    while True:
+        if way == "no order":
+            number = chance.randint(1, LARGEST_STREAM)
+        else:
+            number += chance.randint(1, MAX_STREAM_GAP) * (1 if way == "up" else -1)
+        if number not in used:
+            used.add(number)
+            yield number
 
 
 class SoakConnection(ClientConnection):
@@ -21,11 +42,13 @@
 
     def __init__(self, load: SoakLoadGenerator, router: int, slow: bool = False):
         super().__init__(load, router, slow)
+        self.stream_numbers, self.sent_requests = stream_numbers(load.numbering_chance), 0
         self.last_used_at = load.loop.now()
         load.loop.later(CLIENT_IDLE_TIMEOUT, self.close_if_idle)
 
     def send_request(self, txn: Txn) -> None:
         self.last_used_at = self.load.loop.now()
+        self.sent_requests += 1
         super().send_request(txn)
 
     def receive_answer(self, stream: int, payload: bytes) -> None:
@@ -63,7 +86,7 @@
 
     def closed(self) -> None:
         load, now = self.load, self.load.loop.now()
-        used = self.stream > len(self.open)
+        used = self.sent_requests > len(self.open)
         was_refused = self.conn.reset_by_peer and now < load.crowded_until[self.router]
         if self.conn.connecting:  # never established: the router has received no request
             for stream in self.open:
@@ -86,6 +109,7 @@
 
     def __init__(self, *args):
         super().__init__(*args)
+        self.numbering_chance = random.Random(f"{self.plan.seed} stream numbers")
         self.killed = lambda router: False  # set by the run: whether a fault has killed the router
         self.chance = random.Random(f"{self.plan.seed} leavers")
         self.classes: dict[str, tuple] = {}  # by rule: the class of txns and the source of its objects
--- a/fieldspur/net/client_listener.py
+++ b/fieldspur/net/client_listener.py
@@ -7,6 +7,8 @@
 import socket
 import threading
 import time
+from array import array
+from bisect import bisect_right
 
 from fieldspur.net import frames
 from fieldspur.net.admission import Admission
@@ -22,7 +24,9 @@
 
 log = logging.getLogger("fieldspur.takein")
 MAX_OPEN_STREAMS = 32  # maximum number of open txns on one connection
-MAX_STREAMS_AHEAD = 4096  # stream numbers that a connection has used while a smaller one is still unused
+MAX_USED_RANGES = 256  # ranges of used stream numbers that a connection remembers, besides the one that starts at 0
+ABOVE_ALL_STREAMS = frames.MAX_STREAM + 2  # not adjacent to any stream number
+NEVER_FORGOTTEN = NEVER  # in place of a use count: above all of them
 MAX_DISCARDED_BYTES = 1 << 20  # how much is read and discarded from a connection that gets no further answers
 MAX_READS_BEFORE_HANDOVER = 4  # further reads, while more bytes are in the socket, before admitted txns are handed to the Router
 LISTEN_BACKLOG = 512
@@ -55,21 +59,50 @@
 
 
 class UsedStreams:
-    """Stream numbers that a connection has used: all up to `all_used_to`, and those in `used_above`."""
+    """Stream numbers that a connection has used, as ranges of adjacent numbers in ascending order.
+
+    A number that was never used can always be used, whatever gaps the numbers have and in whatever order they come. Memory is bounded:
+    beyond MAX_USED_RANGES the range to which no number was added for the longest time is forgotten, so that its numbers can be used
+    again. The first range, from 0 on, is never forgotten: stream 0 belongs to no request, and usual clients have no other range."""
 
     def __init__(self):
-        self.all_used_to, self.used_above = 0, set()
+        # The last entry is no range: it is above all stream numbers, so that there is always a range above.
+        self.first_numbers, self.last_numbers = array("Q", (0, ABOVE_ALL_STREAMS)), array("Q", (0, ABOVE_ALL_STREAMS))
+        self.added_at = array("Q", (NEVER_FORGOTTEN, NEVER_FORGOTTEN))  # by range: `use_count` when a number was last added to it
+        self.use_count = 0
 
     def use(self, stream: int) -> bool:
-        """Marks a stream number as used. Returns False if it cannot be used, because it was used before or is too far ahead."""
-        if stream <= self.all_used_to or stream in self.used_above or len(self.used_above) >= MAX_STREAMS_AHEAD:
+        """Marks a stream number as used. Returns False if it is known to have been used before."""
+        above = bisect_right(self.first_numbers, stream)
+        below = above - 1
+        if stream <= self.last_numbers[below]:
             return False
-        self.used_above.add(stream)
-        while self.all_used_to + 1 in self.used_above:
-            self.all_used_to += 1
-            self.used_above.remove(self.all_used_to)
+        self.use_count += 1
+        joins_above = self.first_numbers[above] == stream + 1
+        if self.last_numbers[below] + 1 == stream:
+            self.last_numbers[below] = self.last_numbers[above] if joins_above else stream
+            if below:
+                self.added_at[below] = self.use_count
+            if joins_above:
+                self.remove_range(above)
+        elif joins_above:
+            self.first_numbers[above] = stream
+            self.added_at[above] = self.use_count
+        else:
+            self.add_range(above, stream)
         return True
 
+    def add_range(self, index: int, stream: int) -> None:
+        """Inserts a range of one number at this index, and forgets another range if there are too many."""
+        self.first_numbers.insert(index, stream)
+        self.last_numbers.insert(index, stream)
+        self.added_at.insert(index, self.use_count)
+        if len(self.added_at) > MAX_USED_RANGES + 2:
+            self.remove_range(self.added_at.index(min(self.added_at)))
+
+    def remove_range(self, index: int) -> None:
+        del self.first_numbers[index], self.last_numbers[index], self.added_at[index]
+
 
 class ClientConnection:
     """One client's connection. Its reader thread runs `read`."""
@@ -183,7 +216,7 @@
                     self.client_listener.withdraw(ident)
             elif isinstance(frame, frames.ReadyQuery):
                 self.client_writer.write(frames.encode_ready_reply(frame.stream, self.client_listener.ready))
-            elif not self.used_streams.use(frame.stream):
+            elif frame.stream in self.client_writer.streams or not self.used_streams.use(frame.stream):
                 raise frames.BadFrame("stream used again")
             elif len(self.client_writer.streams) >= MAX_OPEN_STREAMS:
                 self.client_writer.write(encode(frame.stream, Answer("rejected", self.client_listener.admission.retry_after_ms)))
--- a/fieldspur/net/frames.py
+++ b/fieldspur/net/frames.py
@@ -24,6 +24,7 @@
 
 MIN_FRAME_LENGTH = 5  # smallest value of a frame's length field: type and stream alone
 MAX_FRAME_LENGTH = 262_144
+MAX_STREAM = 2**32 - 1  # the largest stream number
 MAX_BODY_BYTES = 48_000  # of a request; answers are not limited here
 MAX_LIMIT_MS = 2**31
 MAX_PART = 2**32
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,7 @@
 """The randomized fault soak: its plans repeat, its invariants find what they name, and a few short seeds keep them all."""
 
+import itertools
+import random
 import socket
 import sys
 from concurrent.futures import ThreadPoolExecutor
@@ -9,6 +11,7 @@
 from fieldspur.lab.checks.invariants import Invariants, slow_start_bound
 from fieldspur.lab.checks.rule_checker import MS, SECOND, Try
 from fieldspur.lab.soak import plan, play
+from fieldspur.lab.soak.clients import LARGEST_STREAM, stream_numbers
 
 PLANTED = {  # by the invariant that has to find it
     "deadline": "from fieldspur.net import resp\nwant = resp.encode_want\n"
@@ -147,3 +150,14 @@
         assert found.result()["passed"], found.result()["missed"]
     for name, found in planted.items():
         assert found.result()["rules"][name], found.result()["missed"]
+
+
+def test_clients_number_their_requests_in_all_ways_that_the_protocol_allows():
+    chance = random.Random(1)
+    connections = [list(itertools.islice(stream_numbers(chance), 500)) for _ in range(40)]
+    for numbers in connections:
+        assert len(set(numbers)) == 500 and 1 <= min(numbers) and max(numbers) <= LARGEST_STREAM
+    rising = [numbers == sorted(numbers) for numbers in connections]
+    falling = [numbers == sorted(numbers, reverse=True) for numbers in connections]
+    assert list(range(1, 501)) in connections and any(falling) and not all(up or down for up, down in zip(rising, falling))
+    assert any(up and numbers[-1] > 5000 for up, numbers in zip(rising, connections))
