Purges of the configuration count for attempts that wait for a connection

Cause: RouterHost.purge_count counted the purges of the configuration, HopRules.purges did not, and HopRules.refusal compares a number of the one with a number of the other. With N purges among `known` an attempt seemed to know the next N purges beforehand.

Ruled out: the late connection alone; the age passed on.

Change: HopRules numbers each purge once, those of the configuration included; the number goes with the event to the Router, which says which it has learned. One owner of the count, so nothing can come apart.

--- a/fieldspur/net/router_host.py
+++ b/fieldspur/net/router_host.py
@@ -78,7 +78,6 @@
         self.router = build_router(self, seed, site)
         self.gate: StartupGate | None = None  # while it is set, new txns wait until the server list is known
         self.gated_txns: dict[int, Txn] = {}  # txns that wait at the gate, in their order of arrival
-        self.purge_count = 0  # number of purges passed to the Router
         self.attempts = dict.fromkeys(RESULTS, 0)  # number of ended hops and probes by result
         self.overdue_checks_until = 0  # until when `end_overdue_txns` is repeated
 
@@ -415,17 +414,19 @@
 
     def purge_received(self, purge: Purge, at_start: bool = False) -> None:
         """Applies a purge; `at_start`: before any thread runs."""
+        number = self.pool.rules.purges + 1  # given by the pool below; this thread is the only one that reports purges
         if at_start:
-            return self.apply_purge(purge, live=False)
-        self.queue.append((self.apply_purge, (purge,), time.monotonic_ns() + MONOTONIC_TO_UNIX_NS))
+            self.pool.purge_received(purge.obj, purge.group)
+            return self.apply_purge(purge, number, live=False)
+        self.queue.append((self.apply_purge, (purge, number), time.monotonic_ns() + MONOTONIC_TO_UNIX_NS))
         self.pool.purge_received(purge.obj, purge.group)
         if not self.thread_state.defers_events:
             self.process_queue()
 
-    def apply_purge(self, purge: Purge, live: bool = True) -> None:
-        """Passes a purge to the Router; `live`: it was received while this process watched."""
-        self.purge_count += 1
+    def apply_purge(self, purge: Purge, number: int, live: bool = True) -> None:
+        """Passes a purge to the Router; `live`: it was received while this process watched. `number`: see HopRules."""
         self.router.purged(purge.obj, purge.group, self.clock - latest_possible_time(purge.at, self.clock, live))
+        self.pool.rules.purge_learned(number)
 
     # The host interface, see host.Host.
 
@@ -464,7 +465,7 @@
             self.clock,
             cut_at,
             txn.group,
-            NEVER if self.site.rules[txn.rule_index].uncacheable else self.purge_count,
+            NEVER if self.site.rules[txn.rule_index].uncacheable else self.pool.rules.known_purges,
             go_by,
             self.server_starts.get(server, UNKNOWN_START)[0],
             self.server_starts.get(source, UNKNOWN_START)[0],
--- a/fieldspur/permissions.py
+++ b/fieldspur/permissions.py
@@ -94,13 +94,18 @@
 
 
 class HopRules:
-    """What a hop depends on until it is written: states of endpoints, purges, and the time limit for connecting."""
+    """What a hop depends on until it is written: states of endpoints, purges, and the time limit for connecting.
+
+    Purges are numbered in the order in which discovery reports them, from 1 on, those of the configuration included. The Router is told
+    of each a moment later, and each hop has the number of the last purge that the Router knew at its decision. All of it is counted
+    here: two counts of the same events could come to differ."""
 
     def __init__(self, connect_limit: int):
         self.connect_limit = connect_limit
         self.endpoints: dict[str, Endpoint] = {}  # listed servers by name
         self.is_uncertain = None  # set by a fleet: a function that tells whether a server may have been released for maintenance
-        self.purges = 0  # number of purges reported so far
+        self.purges = 0  # number of the last purge that was reported
+        self.known_purges = 0  # number of the last purge that the Router knows
         # (number of the latest purge, when it was reported) by object or group, in the order of the reports.
         self.purged: OrderedDict[str | int, tuple[int, int]] = OrderedDict()
 
@@ -112,14 +117,18 @@
             self.endpoints[name] = Endpoint(address, state, started)
 
     def add_purge(self, key: str | int, now: int) -> None:
-        """Hops that were decided before the purge and are not written yet would accept copies that are too old. A hop older than the
-        connect limit is never written, so a purge is dropped after that time."""
+        """Discovery reported a purge. Hops that were decided before the purge and are not written yet would accept copies that are too
+        old. A hop older than the connect limit is never written, so a purge is dropped after that time."""
         self.purges += 1
         self.purged[key] = self.purges, now
         self.purged.move_to_end(key)
         while now - self.purged[oldest := next(iter(self.purged))][1] > self.connect_limit:
             del self.purged[oldest]
 
+    def purge_learned(self, number: int) -> None:
+        """The Router was told of the purge with this number: the hops that it decides from now on take account of it."""
+        self.known_purges = number
+
     def refusal(self, hop, now: int) -> Refusal | None:
         """Why a hop that was decided a while ago may not be written now. `hop` is a Hop of net/server_connection.py: it names its server
         and its source, has their starts as they were known at the decision, and has `want` None for a probe."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,9 @@
 """Fixtures that start services, and the handling of tests that are known to fail."""
 
+import socket
+import threading
+from types import SimpleNamespace
+
 import known_red
 import pytest
 from helpers import Service
@@ -56,3 +60,23 @@
         processes.end()
         for service in processes.services:
             assert not any(f"event={event}" in service.lines() for event in ("crashed", "broken", "contained"))
+
+
+class SocketThatWaitsToConnect(socket.socket):
+    """A socket that connects only once the event `may_connect` is set."""
+
+    may_connect = threading.Event()
+
+    def connect(self, address):
+        assert self.may_connect.wait(10)
+        super().connect(address)
+
+
+@pytest.fixture
+def may_connect(monkeypatch):
+    """Connections to servers wait until the test sets this event."""
+    may_connect = threading.Event()
+    monkeypatch.setattr(SocketThatWaitsToConnect, "may_connect", may_connect)
+    monkeypatch.setattr("fieldspur.net.server_connection.socket", SimpleNamespace(**vars(socket) | {"socket": SocketThatWaitsToConnect}))
+    yield may_connect
+    may_connect.set()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -623,26 +623,6 @@
 # Connections to cache servers, and repeats.
 
 
-class SocketThatWaitsToConnect(socket.socket):
-    """A socket that connects only once the event `may_connect` is set."""
-
-    may_connect = threading.Event()
-
-    def connect(self, address):
-        assert self.may_connect.wait(10)
-        super().connect(address)
-
-
-@pytest.fixture
-def may_connect(monkeypatch):
-    """Connections to servers wait until the test sets this event."""
-    may_connect = threading.Event()
-    monkeypatch.setattr(SocketThatWaitsToConnect, "may_connect", may_connect)
-    monkeypatch.setattr("fieldspur.net.server_connection.socket", SimpleNamespace(**vars(socket) | {"socket": SocketThatWaitsToConnect}))
-    yield may_connect
-    may_connect.set()
-
-
 def keyed_retry_hop(pool, go_by, ident=5, body=b""):
     """A hop that repeats a keyed txn and has to be written by `go_by`."""
     hop = open_txn_with_hop(pool, staying_client_writer(pool), ident=ident, rule="checkout")
