Keep a purge until no attempt decided without it can be written

Cause: HopRules.add_purge dropped a purge by the time of its report; an attempt may be decided without it until the Router learns of it.

Change: the time counts from when the Router learned of it, and an attempt that was decided without all dropped purges is refused (waited_too_long), so that no order of dropping, clock and look-up lets one through. Lookups stay without a lock: the mark is set before a purge is deleted and read after it was looked up.

--- a/fieldspur/net/router_host.py
+++ b/fieldspur/net/router_host.py
@@ -426,7 +426,7 @@
     def apply_purge(self, purge: Purge, number: int, live: bool = True) -> None:
         """Passes a purge to the Router; `live`: it was received while this process watched. `number`: see HopRules."""
         self.router.purged(purge.obj, purge.group, self.clock - latest_possible_time(purge.at, self.clock, live))
-        self.pool.rules.purge_learned(number)
+        self.pool.rules.purge_learned(number, self.clock)
 
     # The host interface, see host.Host.
 
--- a/fieldspur/permissions.py
+++ b/fieldspur/permissions.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import errno
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from enum import Enum
 
 from fieldspur.record import record
@@ -106,8 +106,10 @@
         self.is_uncertain = None  # set by a fleet: a function that tells whether a server may have been released for maintenance
         self.purges = 0  # number of the last purge that was reported
         self.known_purges = 0  # number of the last purge that the Router knows
-        # (number of the latest purge, when it was reported) by object or group, in the order of the reports.
-        self.purged: OrderedDict[str | int, tuple[int, int]] = OrderedDict()
+        self.dropped_purges = 0  # the purges up to this number are not in `purged` any more
+        self.purged: OrderedDict[str | int, int] = OrderedDict()  # number of the latest purge by object or group, in the order of numbers
+        # (number of a purge, when the Router learned of it), for the purges that it knows and that are not dropped yet.
+        self.learned: deque[tuple[int, int]] = deque()
 
     def listed(self, name: str, address: tuple[str, int], state: str, started: int = 0) -> None:
         """Discovery listed a server. A server that is gone is forgotten, and so is its address."""
@@ -117,17 +119,25 @@
             self.endpoints[name] = Endpoint(address, state, started)
 
     def add_purge(self, key: str | int, now: int) -> None:
-        """Discovery reported a purge. Hops that were decided before the purge and are not written yet would accept copies that are too
-        old. A hop older than the connect limit is never written, so a purge is dropped after that time."""
+        """Discovery reported a purge. Hops that were decided without it and are not written yet would accept copies that are too old."""
         self.purges += 1
-        self.purged[key] = self.purges, now
+        self.purged[key] = self.purges
         self.purged.move_to_end(key)
-        while now - self.purged[oldest := next(iter(self.purged))][1] > self.connect_limit:
-            del self.purged[oldest]
+        self.drop_purges(now)
 
-    def purge_learned(self, number: int) -> None:
+    def purge_learned(self, number: int, now: int) -> None:
         """The Router was told of the purge with this number: the hops that it decides from now on take account of it."""
         self.known_purges = number
+        self.learned.append((number, now))
+
+    def drop_purges(self, now: int) -> None:
+        """Drops the purges that the Router has known for longer than the connect limit: a hop that was decided without them is never
+        written. Only the thread that reports purges calls it. Other threads look a purge up before they look at `dropped_purges`, so
+        that they find it in one of the two."""
+        while self.learned and now - self.learned[0][1] > self.connect_limit:
+            self.dropped_purges = self.learned.popleft()[0]
+        while self.purged and self.purged[oldest := next(iter(self.purged))] <= self.dropped_purges:
+            del self.purged[oldest]
 
     def refusal(self, hop, now: int) -> Refusal | None:
         """Why a hop that was decided a while ago may not be written now. `hop` is a Hop of net/server_connection.py: it names its server
@@ -154,12 +164,11 @@
                 return Refusal.SOURCE_RESTARTED
         if self.is_uncertain is not None and (self.is_uncertain(hop.server) or source is not None and self.is_uncertain(source)):
             return Refusal.PLACEMENT_IN_DOUBT
-        if (
-            self.purged
-            and hop.want is not None
-            and hop.purges < max(self.purged.get(hop.want.obj, (0, 0))[0], self.purged.get(hop.group, (0, 0))[0])
-        ):
-            return Refusal.PURGED_SINCE
+        if hop.want is not None:
+            if self.purged and hop.purges < max(self.purged.get(hop.want.obj, 0), self.purged.get(hop.group, 0)):
+                return Refusal.PURGED_SINCE
+            if hop.purges < self.dropped_purges:
+                return Refusal.WAITED_TOO_LONG
         return None
 
 
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -12,12 +12,12 @@
 from helpers import Cache, endpoint, sender, settings, until
 from test_crossings import staying_client_writer
 
-from fieldspur.decide import SECOND
+from fieldspur.decide import MS, SECOND
 from fieldspur.net.discovery import ListChange, ListedServer, Purge
 from fieldspur.net.nonblocking import MONOTONIC_TO_UNIX_NS
 from fieldspur.net.open_txns import OpenTxns, Txn
 from fieldspur.net.router_host import RouterHost
-from fieldspur.permissions import Refusal
+from fieldspur.permissions import HopRules, Refusal
 from fieldspur.site import deployment
 
 ITEM, OTHER_ITEM = "a" * 16, "b" * 16
@@ -196,3 +196,60 @@
     until(lambda: 3 in service.discovery.sent_revisions)
     cache.come_up()
     assert client.get() == (66, 1, 79, {}, b"new")
+
+
+# Purges are dropped from the rules once no attempt that was decided without them can be written.
+
+
+def test_a_purge_applies_to_an_attempt_that_a_late_router_decided_without_it(may_connect):
+    """The Router is busy: it decides an attempt after the purge was reported, without knowing it. The purge used to be dropped once the
+    connect limit had passed since its report, while the attempt may wait for that long from its decision on."""
+    late = LateServers(may_connect, connect_timeout_us=600_000)
+    host = late.router_host
+    with host.lock:  # another thread is in the Router
+        late.request()
+        host.purge_received(purge(PURGES["object"]))
+        time.sleep(0.3)
+    host.process_queue()
+    time.sleep(0.35)
+    host.purge_received(purge(OTHER_PURGES["object"]))
+    want = late.come_up()
+    assert int(want.get("within", 0)) > 0 and late.refusals() == {Refusal.PURGED_SINCE}
+
+
+class WaitingHop:
+    """A hop as the rules see it."""
+
+    server, address, server_start, source, go_by, cut_at, group = "c0", ("127.0.0.1", 1), 0, None, 1 << 62, 0, GROUP
+
+    def __init__(self, decided_at, purges):
+        self.decided_at, self.purges, self.want = decided_at, purges, self
+        self.obj = ITEM
+
+
+def test_dropped_purges_are_bounded_and_refuse_every_attempt_that_was_decided_without_them():
+    rules = HopRules(SECOND)
+    rules.listed("c0", ("127.0.0.1", 1), "up")
+    now = 1000 * SECOND
+    for number in range(1, 2001):
+        now += 10 * MS
+        rules.add_purge(f"{number:016x}", now)
+        rules.purge_learned(number, now)
+        assert len(rules.purged) <= 102 and len(rules.learned) <= 102
+    assert rules.refusal(WaitingHop(now, 2000), now) is None
+    assert rules.refusal(WaitingHop(now, 1950), now) is None  # its object was not among the purged
+    assert rules.refusal(WaitingHop(now, 1000), now) is Refusal.WAITED_TOO_LONG  # whatever it says of its decision
+    rules.add_purge(ITEM, now)
+    assert rules.refusal(WaitingHop(now, 2000), now) is Refusal.PURGED_SINCE
+    for _ in range(200):  # the Router does not learn of any of them
+        now += 10 * MS
+        rules.add_purge(OTHER_ITEM, now)
+    assert rules.refusal(WaitingHop(now, 2000), now) is Refusal.PURGED_SINCE
+
+
+def test_many_purges_of_one_object_take_the_place_of_one():
+    rules = HopRules(SECOND)
+    for number in range(1, 1001):
+        rules.add_purge(ITEM, number)
+        rules.add_purge(GROUP, number)
+    assert dict(rules.purged) == {ITEM: 1999, GROUP: 2000}
