Let two attempts of a repeatable request share a connection, the second given up if refused

Why: a further connection for each attempt at the same server cost handshakes.

Of a repeatable one, two hops at most share a connection, where the first was answered; a refusal of the second may be a copy, so that hop is given up at its server before the next one goes out, over another connection. It rests on the words of cancels that are there already (undelivered_cancels).

What is left of the cost is what keyed requests need.

--- a/fieldspur/net/router_host.py
+++ b/fieldspur/net/router_host.py
@@ -471,7 +471,7 @@
             self.server_starts.get(source, UNKNOWN_START)[0],
         )
         if txn.last_hop is not None:
-            hop.used_connections = txn.last_hop.used_connections_of_next_hop()
+            hop.follow(txn.last_hop, self.site.rules[txn.rule_index].kind == "repeatable")
         txn.last_hop = hop
         txn.hop_count += 1
         self.start_hop(hop)
--- a/fieldspur/net/server_connection.py
+++ b/fieldspur/net/server_connection.py
@@ -80,11 +80,23 @@
     ended: bool = False  # its end is claimed by a thread, which reports it
     reader_wait_began: int = 0  # when it last began to wait for its client's reader
     reader_wait_bytes: int = 0  # it waits until the reader has processed that many bytes of everything the client sent
-    used_connections: tuple[ServerConnection, ...] = ()  # those on which earlier hops of its txn were written
-
-    def used_connections_of_next_hop(self) -> tuple[ServerConnection, ...]:
-        """Those that the txn's next hop must not use. This hop has ended, so that it is not written any more."""
-        return (*self.used_connections, self.connection) if self.written_at else self.used_connections
+    given_up: bool = False  # it was written, and the router stopped waiting for its reply
+    used_connections: tuple[ServerConnection, ...] = ()  # those that it must not use, because a reply to an earlier hop may come there
+    shared_connections: tuple[ServerConnection, ...] = ()  # those that it may use, although an earlier hop was answered there
+
+    def follow(self, previous: Hop, repeatable: bool) -> None:
+        """Sets the connections that this hop must not use; `previous` is the hop before it of the same txn, and has ended.
+
+        All hops of a txn have the same name, so a second copy of a reply can't be told from the reply to a later hop on the same
+        connection. Only hops of a repeatable txn share a connection, two at most, and the second one is given up when a refusal comes:
+        a further connection for each of them would cost too many handshakes."""
+        self.used_connections, self.shared_connections = previous.used_connections, previous.shared_connections
+        if not previous.written_at:
+            return
+        if repeatable and not previous.given_up and previous.connection not in previous.shared_connections:
+            self.shared_connections += (previous.connection,)
+        else:
+            self.used_connections += (previous.connection,)
 
 
 def limit_unsent(sock: socket.socket, limit: int = UNSENT_LIMIT) -> None:
@@ -108,10 +120,11 @@
         self.unwritten: list = []  # rest of a started write that the socket did not accept; it goes out before anything else
         self.partial_hop: Hop | None = None  # the hop that `unwritten` belongs to
         self.open_hops: dict[str, Hop] = {}  # by name
-        # Names that no other hop may use, because a further reply to them may come. Hops of one txn have the same name, and are kept
-        # apart by `Hop.used_connections` for as long as the txn is open; this is for clients that use an id for two txns.
-        self.used_names: set[str] = set()
-        self.older_used_names: set[str] = set()  # the generation before, which is forgotten as a whole
+        # Names that another hop must not use, because a further reply to them may come, with the txn that still may: the txn whose
+        # hop was answered, or -1 (no txn) after a cancel. `Hop.used_connections` keeps the hops of one txn apart as well, for as long
+        # as the txn is open.
+        self.used_names: dict[str, int] = {}
+        self.older_used_names: dict[str, int] = {}  # the generation before, which is forgotten as a whole
         self.last_received_at, self.closed, self.retired = 0, False, False  # retired: takes no further hops
         self.connected = False
         self.lock = threading.Lock()
@@ -138,16 +151,15 @@
             or self.retired
             or hop.name in self.open_hops
             or self in hop.used_connections
-            or hop.name in self.used_names
-            or hop.name in self.older_used_names
+            or (self.used_names.get(hop.name) or self.older_used_names.get(hop.name, hop.ident)) != hop.ident
             or len(self.open_hops) >= self.pool.site.max_hops_per_connection
         )
 
-    def mark_name_used(self, hop: Hop) -> None:
-        """From now on no hop may use this hop's name."""
-        self.used_names.add(hop.name)
+    def mark_name_used(self, hop: Hop, ident: int) -> None:
+        """From now on only the txn `ident` may use the hop's name."""
+        self.used_names[hop.name] = ident
         if len(self.used_names) > MAX_USED_NAMES:
-            self.older_used_names, self.used_names = self.used_names, set()
+            self.older_used_names, self.used_names = self.used_names, {}
 
     def enqueue(self, hop: Hop, checked: bool = True) -> bool:
         """Queues the hop for the next `write_queued`. Returns False if the connection is ending. Unless `accepts` was `checked` before, it
@@ -172,16 +184,21 @@
             self.open_hops.pop(hop.name, None)
             if not hop.written_at or self.closed:
                 return
-            self.mark_name_used(hop)
+            self.mark_name_used(hop, -1)
+            hop.given_up = True
             if self.last_received_at < hop.written_at and now - hop.written_at > self.pool.site.connect_timeout:
                 self.retired = True
             if hop.want is not None:
-                with self.pool.lock:  # lock order: a connection's lock first, then the pool's
-                    self.pool.undelivered_cancels[hop.ident] = hop
-                self.cancels.append(hop)
+                self.add_cancel(hop)
             if self.retired and not self.open_hops:
                 self.shut_down()  # otherwise its reader or a writer could wait forever
 
+    def add_cancel(self, hop: Hop) -> None:
+        """Has the server told that a hop is given up; the txn's next hop waits for that. The caller holds the lock."""
+        with self.pool.lock:  # lock order: a connection's lock first, then the pool's
+            self.pool.undelivered_cancels[hop.ident] = hop
+        self.cancels.append(hop)
+
     def refuse_stale_hops(self) -> None:
         """Refuses queued hops that may not be written any more, at once: they never ran."""
         for hop in list(self.queue):
@@ -484,7 +501,11 @@
                 with self.lock:
                     hop = self.open_hops.pop(reply.ident, None)
                     if hop is not None:
-                        self.mark_name_used(hop)
+                        self.mark_name_used(hop, hop.ident)
+                        if hop.shared_connections and self in hop.shared_connections and reply.result != "completed":
+                            # Perhaps a second copy of the refusal of the hop before: this hop may still be under way.
+                            self.mark_name_used(hop, -1)
+                            self.add_cancel(hop)
                 if hop is None:
                     continue  # the hop was cancelled while its reply was on the way
                 if corked_writers or buffer.end > buffer.start:  # otherwise it is the only reply of this read
@@ -496,6 +517,8 @@
             for client_writer in corked_writers:
                 client_writer.uncork()
             pool.answer_sender.undelivered.discard((0, id(self)))
+            if self.cancels:
+                self.write_queued()
             pool.host.finish_batch()
 
     def shut_down(self) -> None:
--- a/tests/test_further_replies.py
+++ b/tests/test_further_replies.py
@@ -97,10 +97,10 @@
     assert all(len(cache.conns) <= MAX_CONNECTIONS for cache in caches)
 
 
-def retry(previous_hop):
+def retry(previous_hop, repeatable=False):
     """The hop after `previous_hop`, decided as the Router's host does it."""
     hop = Hop(previous_hop.ident, previous_hop.number + 1, previous_hop.name, "c0", None, replace(previous_hop.want), clock())
-    hop.used_connections = previous_hop.used_connections_of_next_hop()
+    hop.follow(previous_hop, repeatable)
     return hop
 
 
@@ -114,7 +114,7 @@
     until(lambda: first.ended)
     with connection.lock:
         for number in range(3 * MAX_USED_NAMES):
-            connection.mark_name_used(SimpleNamespace(name=f"{1000 + number:016x}"))
+            connection.mark_name_used(SimpleNamespace(name=f"{1000 + number:016x}"), number)
     second = retry(first)
     assert not connection.accepts(second)
     other_connection = pool.enqueue(second)
@@ -125,6 +125,45 @@
     assert not connection.accepts(third) and not other_connection.accepts(third)
 
 
+def test_two_attempts_of_a_repeatable_txn_at_most_share_a_connection_and_none_after_one_that_was_given_up():
+    cache = Cache(lambda want: ("AGAIN", "-", b""))
+    pool = sender(cache.address)
+    first = open_txn_with_hop(pool, staying_client_writer(pool))
+    connection = pool.enqueue(first)
+    connection.write_queued()
+    until(lambda: first.ended)
+    second = retry(first, repeatable=True)
+    assert pool.enqueue(second) is connection
+    connection.write_queued()
+    until(lambda: second.ended)
+    until(lambda: cache.given_up == [second.name])  # the second refusal may be a copy of the first
+    assert not connection.accepts(retry(second, repeatable=True))
+    cache.says = lambda want: None
+    other = open_txn_with_hop(pool, staying_client_writer(pool), ident=6)
+    assert pool.enqueue(other) is connection
+    connection.write_queued()
+    until(lambda: other.written_at)
+    assert pool.give_up(other, clock())
+    with connection.lock:
+        for number in range(3 * MAX_USED_NAMES):
+            connection.mark_name_used(SimpleNamespace(name=f"{1000 + number:016x}"), number)
+    assert not connection.accepts(retry(other, repeatable=True))
+
+
+@pytest.mark.parametrize("word", REFUSALS)
+def test_an_attempt_that_runs_on_behind_a_refusal_that_came_twice_is_given_up(run, word):
+    """A request that may be repeated: all of its attempts that ran, but for the last, were given up at their servers."""
+    runs = Counter()
+    caches = [RepeatingCache(word, runs) for _ in range(2)]
+    client = run(*caches).client()
+    for stream in range(1, REQUESTS + 1):
+        client.ask(stream)
+        assert client.get()[:2] == (66, stream)
+    time.sleep(5 * RUN_TIME_S)
+    given_up = Counter(ident for cache in caches for ident in cache.given_up)
+    assert runs and [ident for ident, count in runs.items() if count - given_up[ident] > 1] == []
+
+
 def test_a_connection_on_which_an_attempt_was_not_written_can_be_used_by_the_next():
     """It was taken back before its first byte, so no reply to it can come."""
     cache = Cache(lambda want: None)
