--- a/tests/test_further_replies.py
+++ b/tests/test_further_replies.py
@@ -104,17 +104,28 @@
     return hop
 
 
-def test_a_txn_uses_no_connection_twice_in_the_connection_s_whole_life():
-    """Also after more names were used there than a connection remembers."""
-    cache = Cache(lambda want: ("AGAIN", "-", b""))
-    pool = sender(cache.address)
-    first = open_txn_with_hop(pool, staying_client_writer(pool))
-    connection = pool.enqueue(first)
+def refused_attempt(pool):
+    """The first attempt of a txn, which its server has refused, and the connection that it went out on."""
+    attempt = open_txn_with_hop(pool, staying_client_writer(pool))
+    connection = pool.enqueue(attempt)
     connection.write_queued()
-    until(lambda: first.ended)
+    until(lambda: attempt.ended)
+    return attempt, connection
+
+
+def use_other_names(connection):
+    """Uses more names on the connection than it remembers."""
     with connection.lock:
         for number in range(3 * MAX_USED_NAMES):
             connection.mark_name_used(SimpleNamespace(name=f"{1000 + number:016x}"), number)
+
+
+def test_a_txn_uses_no_connection_twice_in_the_connection_s_whole_life():
+    """Also after more names were used there than a connection remembers."""
+    cache = Cache(lambda want: ("AGAIN", "-", b""))
+    pool = sender(cache.address)
+    first, connection = refused_attempt(pool)
+    use_other_names(connection)
     second = retry(first)
     assert not connection.accepts(second)
     other_connection = pool.enqueue(second)
@@ -128,10 +139,7 @@
 def test_two_attempts_of_a_repeatable_txn_at_most_share_a_connection_and_none_after_one_that_was_given_up():
     cache = Cache(lambda want: ("AGAIN", "-", b""))
     pool = sender(cache.address)
-    first = open_txn_with_hop(pool, staying_client_writer(pool))
-    connection = pool.enqueue(first)
-    connection.write_queued()
-    until(lambda: first.ended)
+    first, connection = refused_attempt(pool)
     second = retry(first, repeatable=True)
     assert pool.enqueue(second) is connection
     connection.write_queued()
@@ -144,9 +152,7 @@
     connection.write_queued()
     until(lambda: other.written_at)
     assert pool.give_up(other, clock())
-    with connection.lock:
-        for number in range(3 * MAX_USED_NAMES):
-            connection.mark_name_used(SimpleNamespace(name=f"{1000 + number:016x}"), number)
+    use_other_names(connection)
     assert not connection.accepts(retry(other, repeatable=True))
 
 
