--- a/review/9/play.py
+++ b/review/9/play.py
@@ -1,6 +1,7 @@
-"""A router starts while the notice board is crowded: what the board has held for long comes in pieces, with pauses. See claim.txt."""
+"""Usual clients' requests while some bad clients send as many usable requests at once as they may, again and again. See claim.txt."""
 
 import asyncio
+import subprocess
 import sys
 import time
 from pathlib import Path
@@ -8,90 +9,77 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-2"))
 import standins as s  # noqa: E402
 
-PAUSE_S = 0.4  # before each further event that the board tells to a new watch
-TOLD_S, GRACE_S = 7.0, 0.25 + 0.05  # told 7 s later at the latest; guarantees.drainGraceUs and the protocol's 50 ms
-START_AFTER_S = 8.0  # the router starts so long after the board came to hold the drain
-CONNECTIONS, REQUESTS = 4, 25  # on each connection
+BAD_CLIENTS, PROCESSES = 60, 2
+USUAL_CLIENTS, PAUSE_S = 8, 0.1  # each sends a request every 0.1 s: 80 a second in all
+BURSTS, BURST_S, REST_S = 5, 5.0, 4.0  # the bad clients come, stay for so long, and go, some times
+LIMIT_MS = 1250  # a try of `pages` is given up after 50 to 100% of 2.5 s
+LATE_S = 0.5 + 0.05  # up to half a second after its time an answer only earns nothing; 50 ms are the protocol's slack
+LAG_LIMIT_S = 0.2  # where this program itself runs later than that, the case says nothing
 
 
-class CrowdedBoard(s.Board):
-    """Tells a new watch one event after the other, with pauses, then the last number each second."""
-
-    async def watch(self, reader, writer):
-        try:
-            told = int((await reader.readline()).split()[1])
-            asked = time.time()
-            self.record.note(f"board: watch {told}")
-            first = told
-            while told < len(self.events):
-                if told > first and self.pause_s:
-                    await asyncio.sleep(self.pause_s)
-                writer.write(s.json.dumps(self.events[told]).encode() + b"\n")
-                told += 1
-                self.record.note(f"board: told event {told}, {time.time() - asked:.3f} s after it was asked")
-            while not writer.is_closing():
-                writer.write(b"%d\n" % told)
-                await writer.drain()
-                await asyncio.sleep(1.0)
-        except (OSError, IndexError, ValueError):
-            pass
+def bad_clients(port):
+    command = [sys.executable, "-B", str(Path(__file__).parent / "bad.py"), str(port), str(BAD_CLIENTS // PROCESSES), str(BURST_S)]
+    return [subprocess.Popen(command, stdout=subprocess.PIPE) for _ in range(PROCESSES)]
 
 
 async def play(record, trouble):
     servers = [await s.Server(record, f"s-{n}").start() for n in range(4)]
     servers += [await s.Server(record, "p-0", "parent").start(), await s.Server(record, "store", "origin").start()]
+    for server in servers:
+        server.verbose = False
     rows = [server.row() for server in servers]
-    board = CrowdedBoard(record, rows)
-    board.pause_s = PAUSE_S if trouble else 0.0
-    await board.start()
-    board.publish({"flush": {"asset": s.new_id(), "ms": int(time.time() * 1000)}})
-    held_at = board.publish({"pool": {"index": 2, "snapshot": False, "endpoints": [servers[0].row("draining")]}})
-    await asyncio.sleep(START_AFTER_S)
-    # The file that the platform made has the events up to 1: it is older than the board, as at any start.
+    board = await s.Board(record, rows).start()
     router = s.Router(record, rows, board.port, s.settings())
+    bad = []
     try:
-        until = time.time() + 30
-        while True:
-            if time.time() > until or router.process.poll() is not None:
-                raise s.Unable("the router is not ready")
-            try:
-                client = await s.Client.connect(router.port)
-                ready = await client.is_ready()
-                await client.close()
-                if ready:
-                    break
-            except OSError:
-                pass
-            await asyncio.sleep(0.01)
-        record.note("platform: the router says that it is ready; clients come")
-        futures, clients = [], []
-        for _ in range(CONNECTIONS):
-            client = await s.Client.connect(router.port)
-            clients.append(client)
-            for _ in range(REQUESTS):
-                stream = client.stream()
-                futures.append(client.expect(s.ANSWER, stream))
-                client.writer.write(s.request(stream, "pages", s.new_id(), 2500, s.new_id(), 150.0))
-        answers = await asyncio.wait_for(asyncio.gather(*futures), 10)
-        served = sum(answer is not None and answer[0] == s.SERVED for answer in answers)
-        late = [
-            want
-            for server in servers
-            for want in server.wants
-            if (server is servers[0] or want.fields.get("miss") == "s-0") and want.at > held_at + TOLD_S + GRACE_S
-        ]
-        for line in router.log_lines("event=open") + router.log_lines("server=s-0"):
+        await router.ready()
+        clients = [await s.Client.connect(router.port) for _ in range(USUAL_CLIENTS)]
+        sent, lag, began, bursts = [], 0.0, time.time(), 0
+        while time.time() < began + BURSTS * (BURST_S + REST_S):
+            if trouble and bursts < BURSTS and time.time() >= began + 1.0 + bursts * (BURST_S + REST_S):
+                bursts += 1
+                record.note(f"bad clients come, {time.time() - began:.2f} s after the start")
+                bad += bad_clients(router.port)
+            for client in clients:
+                if client.ended_at:
+                    raise s.Unable(f"a usual client's connection ended: {client.end}")
+                if sum(not future.done() for future in client.waiting.values()) < 32:
+                    stream, txn = client.stream(), s.new_id()
+                    future = client.expect(s.ANSWER, stream)
+                    client.writer.write(s.request(stream, "pages", txn, LIMIT_MS, s.new_id(), 150.0))
+                    sent.append((txn, time.time(), future))
+            for client in clients:  # what is answered needs no further look
+                client.waiting = {key: future for key, future in client.waiting.items() if not future.done()}
+            before = time.time()
+            await asyncio.sleep(PAUSE_S)
+            lag = max(lag, time.time() - before - PAUSE_S)
+        await asyncio.sleep(LIMIT_MS / 1000 + LATE_S + 1)
+        for process in bad:
+            record.note("bad clients: " + process.communicate(timeout=20)[0].decode().strip())
+        lost, longest, words = 0, 0.0, {}
+        for txn, at, future in sent:
+            answer = future.result() if future.done() else None
+            took = answer[3] - at if answer else None
+            word = s.WORDS[answer[0]] if answer else "no answer"
+            words[word] = words.get(word, 0) + 1
+            longest = max(longest, took or 0.0)
+            if took is None or took > LIMIT_MS / 1000 + LATE_S:
+                lost += 1
+                record.note(f"usual client: {txn} sent {at - began:.2f} s after the start: {word}" + (f" after {took:.3f} s" if took else ""))
+        for line in router.log_lines("event=counts"):
             record.note(f"router: {line}")
-        record.say(f"{len(answers)} requests, {served} served")
-        if late:
-            record.say(
-                f"{len(late)} attempts at s-0, {min(want.at for want in late) - held_at:.2f} to {max(want.at for want in late) - held_at:.2f} s"
-                " after the board held its drain"
-            )
+        record.say(f"this program ran late by {lag:.3f} s at most; usual clients' requests: {words}")
+        record.say(
+            f"{len(sent)} requests of usual clients with {LIMIT_MS} ms each: {lost} with no answer until {LATE_S} s after their time;"
+            f" the longest wait for an answer was {longest:.2f} s"
+        )
         if router.process.poll() is not None:
+            record.say("the router ended")
             return s.BROKEN
-        return s.UNABLE if served < len(answers) * 0.8 else s.BROKEN if late else s.HELD
+        return s.UNABLE if lag > LAG_LIMIT_S else s.BROKEN if lost else s.HELD
     finally:
+        for process in bad:
+            process.kill()
         router.end()
 
 
