--- a/review/10/play.py
+++ b/review/10/play.py
@@ -2,6 +2,7 @@
 See claim.txt."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -87,4 +88,4 @@
         router.end()
 
 
-s.main(Path(__file__).resolve().parent, play)
+s.main(Path(__file__).resolve().parent, play, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,6 +1,7 @@
 """A usual client's requests while many bad clients send requests that can't be used, again and again. See claim.txt."""
 
 import asyncio
+import os
 import subprocess
 import sys
 import time
@@ -60,6 +61,7 @@
             record.note(f"usual client: {txn} sent {at - began:.2f} s after the start: {s.WORDS[answer[0]]} after {took:.3f} s")
             lost += took > LIMIT_MS / 1000 + LATE_S
         longest = max((future.result()[3] - at for _, at, future in sent if future.done() and future.result()), default=0.0)
+        s.note_runs(record, servers)
         for line in router.log_lines("event=counts"):
             record.note(f"router: {line}")
         record.say(f"this program ran late by {lag:.3f} s at most")
@@ -77,4 +79,4 @@
         router.end()
 
 
-s.main(Path(__file__).resolve().parent, play)
+s.main(Path(__file__).resolve().parent, play, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/7/play.py
+++ b/review/7/play.py
@@ -2,6 +2,7 @@
 beginning of the next one or both. Each request is written within a tenth of a second. See claim.txt."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -86,4 +87,4 @@
         router.end()
 
 
-s.main(Path(__file__).resolve().parent, play)
+s.main(Path(__file__).resolve().parent, play, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/8/play.py
+++ b/review/8/play.py
@@ -1,6 +1,7 @@
 """The notice board is crowded: each watch gets its first line 3 s after it asked, then all that follows at once. See claim.txt."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -42,8 +43,9 @@
             if not drained_at and time.time() > began + DRAIN_AT_S:
                 drained_at = board.publish({"pool": {"index": 2, "snapshot": False, "endpoints": [servers[0].row("draining")]}})
             stream = client.stream()
-            answers.append(client.expect(s.ANSWER, stream))
-            client.writer.write(s.request(stream, "pages", s.new_id(), 2500, s.new_id(), 150.0))
+            txn = s.new_id()
+            answers.append((txn, time.time(), client.expect(s.ANSWER, stream)))
+            client.writer.write(s.request(stream, "pages", txn, 2500, s.new_id(), 150.0))
             sent += 1
             await asyncio.sleep(1 / RATE)
         await asyncio.sleep(0.5)
@@ -59,7 +61,13 @@
                     )
                 if at_drained and want.at > told_by + GRACE_S:
                     late.append(want)
-        served = sum(future.done() and future.result() is not None and future.result()[0] == s.SERVED for future in answers)
+        s.note_runs(record, servers)
+        served = 0
+        for txn, at, future in answers:
+            answer = future.result() if future.done() else None
+            served += answer is not None and answer[0] == s.SERVED
+            word = f"{s.WORDS[answer[0]]} after {answer[3] - at:.3f} s" if answer else "no answer"
+            record.note(f"client: {txn} sent {at - drained_at:+.3f} s from when the board held the drain of s-0: {word}")
         record.say(f"{sent} requests, {served} served")
         watches = len(router.log_lines("event=lost"))
         record.say(f"the router ended {watches} watches by itself or lost them")
@@ -80,4 +88,4 @@
         router.end()
 
 
-s.main(Path(__file__).resolve().parent, play)
+s.main(Path(__file__).resolve().parent, play, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/9/play.py
+++ b/review/9/play.py
@@ -1,6 +1,7 @@
 """Usual clients' requests while some bad clients send as many usable requests at once as they may, again and again. See claim.txt."""
 
 import asyncio
+import os
 import subprocess
 import sys
 import time
@@ -63,9 +64,14 @@
             word = s.WORDS[answer[0]] if answer else "no answer"
             words[word] = words.get(word, 0) + 1
             longest = max(longest, took or 0.0)
-            if took is None or took > LIMIT_MS / 1000 + LATE_S:
-                lost += 1
-                record.note(f"usual client: {txn} sent {at - began:.2f} s after the start: {word}" + (f" after {took:.3f} s" if took else ""))
+            late = took is None or took > LIMIT_MS / 1000 + LATE_S
+            lost += late
+            record.note(
+                f"usual client: {txn} sent {at - began:.2f} s after the start: {word}"
+                + (f" after {took:.3f} s" if took is not None else "")
+                + (" LATE" if late else "")
+            )
+        s.note_runs(record, servers)
         for line in router.log_lines("event=counts"):
             record.note(f"router: {line}")
         record.say(f"this program ran late by {lag:.3f} s at most; usual clients' requests: {words}")
@@ -83,4 +89,4 @@
         router.end()
 
 
-s.main(Path(__file__).resolve().parent, play)
+s.main(Path(__file__).resolve().parent, play, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -282,6 +282,15 @@
         self.writer.write(resp(self.txn.encode(), word.encode(), ",".join(text).encode() or b"-", data))
 
 
+def note_runs(record: Record, servers: list) -> None:
+    """Notes each attempt that the servers got, at the time at which it came: for cases that do not note them as they come."""
+    for want in sorted((want for server in servers for want in server.wants), key=lambda want: want.at):
+        record.file.write(
+            f"{(want.at - record.began) * 1000:10.1f} {want.server.name}: got want {want.txn} cls={want.fields.get('cls')}"
+            f" item={want.fields.get('item')} miss={want.fields.get('miss', '-')}{' given up' if want.given_up else ''}\n"
+        )
+
+
 class Server:
     """A server of the platform. `handle(want)` is a coroutine that answers an attempt; the default is a hit after `work_s`."""
 
@@ -393,14 +402,18 @@
         writer.close()
 
 
-def main(folder: Path, play) -> None:
-    """Runs `play(record, trouble)`, a coroutine that returns an exit code, within 110 s, and ends this process with that code."""
+def main(folder: Path, play, trouble: bool) -> None:
+    """Runs `play(record, trouble)`, a coroutine that returns an exit code, within 110 s, and ends this process with that code. A signal
+    to end cancels it, so that it ends what it started."""
     record = Record(folder)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"TROUBLE={int(trouble)}")
+    loop = asyncio.new_event_loop()
     try:
-        code = asyncio.new_event_loop().run_until_complete(asyncio.wait_for(play(record, trouble), 110))
-    except (Unable, OSError, asyncio.TimeoutError) as error:
+        task = loop.create_task(asyncio.wait_for(play(record, trouble), 110))
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
+        code = loop.run_until_complete(task)
+    except (Unable, OSError, ValueError, LookupError, asyncio.TimeoutError, asyncio.CancelledError) as error:
         record.say(f"could not run: {type(error).__name__} {error}")
         code = UNABLE
     record.say({HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN", UNABLE: "no result"}[code])
