Log lines are written by a thread of their own, so that no caller waits for the log

Cause: the thread with the Router's lock logs ("ejected ..."), and Handler.handle takes one lock for all threads. Each unusable request logs, hundreds of readers stand in that lock, and each hand-over also needs the interpreter. By reading, the same place stops the router for good where standard error is a pipe that nobody reads.

Change: BackgroundHandler queues records without a lock; its thread formats and writes. 4,096 records at most wait, further ones are counted and reported (log_full).

--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -47,6 +47,7 @@
         exc_info=(args.exc_type, args.exc_value, args.exc_traceback),
         extra={"kv": {"thread": args.thread.name if args.thread else "", **logs.error_fields(args.exc_value, args.exc_traceback)}},
     )
+    logs.flush()
     os._exit(1)
 
 
--- a/fieldspur/net/logs.py
+++ b/fieldspur/net/logs.py
@@ -6,9 +6,14 @@
 import logging
 import sys
 import threading
+import time
+from collections import deque
 from enum import Enum
 
 MAX_LINES_PER_SECOND = 20  # default limit for the lines of one event
+MAX_PENDING_RECORDS = 4096  # records that wait to be written; about 1 KB each
+FLUSH_TIMEOUT_S = 0.3  # how long the end of the program waits for pending lines
+FLUSH_POLL_S = 0.001
 
 
 class ReasonCounter:
@@ -95,6 +100,65 @@
         return True
 
 
+class BackgroundHandler(logging.Handler):
+    """Hands records to a thread of its own, which formats and writes them.
+
+    The caller never waits: not for the handler's lock, which hundreds of threads may want at once, and not for the stream, which may be a
+    pipe that nobody reads. Among the callers is the thread that holds the Router's lock. Records beyond MAX_PENDING_RECORDS are dropped,
+    and their number is logged once there is room."""
+
+    def __init__(self, stream):
+        super().__init__()
+        self.stream = stream
+        self.pending: deque[logging.LogRecord] = deque()
+        self.dropped = 0  # records dropped since the last line that reported it; not exact, as the callers share no lock
+        self.writing = False  # a record was taken from `pending` and is not written yet
+        self.wakeup = threading.Lock()  # the writer sleeps on it; releasing it wakes the writer up
+        self.wakeup.acquire()
+        threading.Thread(target=self.run, name="log", daemon=True).start()
+
+    def handle(self, record: logging.LogRecord) -> bool:
+        """Queues a record that passes the filters. Unlike the base class it takes no lock."""
+        if not self.filter(record):
+            return False
+        if len(self.pending) >= MAX_PENDING_RECORDS:
+            self.dropped += 1
+            return True
+        self.pending.append(record)
+        try:
+            self.wakeup.release()
+        except RuntimeError:
+            pass  # the writer is awake or being woken up already
+        return True
+
+    def run(self) -> None:
+        """The writer thread."""
+        while True:
+            self.wakeup.acquire()
+            while self.pending:
+                self.writing = True
+                self.write(self.pending.popleft())
+                if self.dropped and not self.pending:
+                    dropped, self.dropped = self.dropped, 0
+                    fields = {"kv": {"records": dropped}}
+                    self.write(logging.makeLogRecord({"name": __name__, "msg": "log_full", "levelname": "WARNING", **fields}))
+                self.writing = False
+
+    def write(self, record: logging.LogRecord) -> None:
+        """Writes one line. An error costs this line only."""
+        try:
+            self.stream.write(self.format(record) + "\n")
+            self.stream.flush()
+        except Exception:
+            pass  # there is nowhere to report it
+
+    def flush(self) -> None:
+        """Waits until all pending lines are written, for FLUSH_TIMEOUT_S at most. For the end of the program."""
+        ends = time.monotonic() + FLUSH_TIMEOUT_S
+        while (self.pending or self.writing) and time.monotonic() < ends:
+            time.sleep(FLUSH_POLL_S)
+
+
 def skip_unused_fields() -> None:
     """Keeps `logging` from looking up the place in the code, the thread and the process: no line reports them, and the lookup costs more
     than the rest of the line."""
@@ -105,9 +169,15 @@
 def configure(level: int = logging.INFO, max_lines: int = MAX_LINES_PER_SECOND) -> None:
     """Sends the lines of all the program's loggers to standard error, at most `max_lines` per event and second."""
     skip_unused_fields()
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(KeyValueFormatter())
-    handler.addFilter(RateLimitFilter(max_lines))
     root = logging.getLogger("fieldspur")
+    handler = next((handler for handler in root.handlers if isinstance(handler, BackgroundHandler)), None) or BackgroundHandler(sys.stderr)
+    handler.setFormatter(KeyValueFormatter())
+    handler.filters[:] = [RateLimitFilter(max_lines)]
     root.handlers[:], root.propagate = [handler], False
     root.setLevel(level)
+
+
+def flush() -> None:
+    """Waits, for a moment at most, until the lines logged so far are written."""
+    for handler in logging.getLogger("fieldspur").handlers:
+        handler.flush()
