Connections that send much of no use are processed one at a time

Cause: every reader with work takes the interpreter in turn with the threads that decide and answer.

A connection that sends what can be used never waits.

Why it works: beside the usual threads at most one reader of bad clients has work; all others sleep on their own lock.

--- a/fieldspur/net/arrival_times.py
+++ b/fieldspur/net/arrival_times.py
@@ -49,9 +49,12 @@
         self.earliest_known: int | None = None  # the earliest time at which bytes of this read can have arrived; None until it is needed
         self.core_waited = 0  # `core_wait` of this thread at the last check
         self.reads_since_check = 0  # number of reads since the last check of `core_wait`
+        self.waited_after_read_at = 0  # `read_at` of the last read after which the reader waited for its turn
+        self.waited_since = NEVER  # if the reader waited for its turn between the read before and this one: when the former returned
 
     def note_read(self, now: int, more_in_socket) -> None:
         """Notes that a read has returned. `more_in_socket` is true if further bytes are in the socket."""
+        self.waited_since = self.read_at if self.read_at == self.waited_after_read_at else NEVER
         if now - self.read_at > LATE_READ:  # the thread had no core, the process was stopped, or nothing arrived
             self.late_since = min(self.late_since, self.read_at)
         self.read_at, self.more_in_socket, self.earliest_known = now, more_in_socket, None
@@ -60,6 +63,10 @@
         if self.reads_since_check >= READS_PER_CORE_WAIT_CHECK:
             self.earliest_arrival()
 
+    def reader_waits(self) -> None:
+        """Notes that the reader waits for its turn before it processes the read: what comes meanwhile lies in the socket."""
+        self.waited_after_read_at = self.read_at
+
     def earliest_arrival(self) -> int:
         """A time before which no byte of this read arrived."""
         if self.earliest_known is None:
@@ -68,7 +75,7 @@
             self.core_waited, self.reads_since_check = waited, 0
             self.earliest_known = max(
                 min(self.late_since, self.last_bytes_at),
-                min(self.last_bytes_at, runnable_since, self.answer_sender.stalled_since(self.read_at)),
+                min(self.last_bytes_at, runnable_since, self.waited_since, self.answer_sender.stalled_since(self.read_at)),
             )
         return self.earliest_known
 
--- a/fieldspur/net/client_listener.py
+++ b/fieldspur/net/client_listener.py
@@ -18,8 +18,9 @@
 from fieldspur.net.logs import ReasonCounter
 from fieldspur.net.nonblocking import MONOTONIC_TO_UNIX_NS, PEER_CLOSED, bytes_received, receive_poll
 from fieldspur.net.open_txns import Answer, OpenTxns
+from fieldspur.net.read_turns import ReadTurns
 from fieldspur.net.timer_wheel import NEVER
-from fieldspur.permissions import AcceptFailures, ClientState, CloseReason, close_reason, may_cut
+from fieldspur.permissions import AcceptFailures, ClientState, CloseReason, UselessFrameBudget, close_reason, may_cut
 from fieldspur.site import MS
 
 log = logging.getLogger("fieldspur.takein")
@@ -116,6 +117,10 @@
         self.unfinished_bytes = 0  # received bytes of an unfinished frame
         self.sent_usable_request = False
         self.failed = False  # the client sent something unreadable; further bytes are discarded
+        self.useless_frames = self.useful_frames = 0  # since they were last added to `useless_budget`
+        self.useless_budget: UselessFrameBudget | None = None  # set with the first useless frame
+        self.waits_for_turn = False  # sends so much of no use that its reads are processed in turn with those of other such connections
+        self.has_turn = False
 
     def read(self) -> None:
         """Reads and handles what the client sends until the connection ends. Runs in the connection's reader thread."""
@@ -147,6 +152,8 @@
                 else:  # does the same as `arrivals.note_read` in the usual case, without a call
                     arrivals.read_at = arrivals.last_bytes_at = now
                     arrivals.reads_since_check += 1
+                if self.waits_for_turn:
+                    self.take_turn(arrivals)
                 self.client_listener.router_host.start_batch()
                 try:
                     for frame in decoder.decode_received(size):
@@ -178,15 +185,43 @@
                         self.client_listener.router_host.finish_batch()
                         if self.client_writer.release_needed:
                             self.client_writer.release_waiting()
+                    if self.useless_budget is not None:
+                        self.pass_turn_on()
+                        self.update_budget()
         except OSError:
             pass  # a reset is handled like a close
         except Exception:
             contained_errors.record("client")
+        self.pass_turn_on()
         self.set_unfinished(0)
         self.client_listener.connection_ended(self)
         self.client_listener.router_host.finish_batch()
         self.client_writer.release_waiting()
 
+    def take_turn(self, arrivals: ArrivalTimes) -> None:
+        """Waits for the turn to process what was read."""
+        arrivals.reader_waits()
+        self.client_listener.router_host.finish_batch()  # txns of earlier reads do not wait with this one
+        self.client_listener.read_turns.take()
+        self.has_turn = True
+
+    def pass_turn_on(self) -> None:
+        """Passes the turn on if this reader has it."""
+        if self.has_turn:
+            self.has_turn = False
+            self.client_listener.read_turns.pass_on()
+
+    def update_budget(self) -> None:
+        """Counts the frames of a read that was processed, and notes whether the next read has to wait for its turn."""
+        self.waits_for_turn = self.useless_budget.add(self.useless_frames, self.useful_frames, time.monotonic())
+        self.useless_frames = self.useful_frames = 0
+
+    def note_useless(self) -> None:
+        """Counts a frame that is only answered or ignored."""
+        self.useless_frames += 1
+        if self.useless_budget is None:
+            self.useless_budget = UselessFrameBudget(time.monotonic())
+
     def descriptor_freed(self) -> None:
         self.client_writer.on_descriptor_freed = None  # breaks a reference cycle, which would wait for a rare garbage collection
         self.client_listener.connection_freed(self)
@@ -214,14 +249,21 @@
                 ident = self.client_writer.streams.pop(frame.stream, None)
                 if ident is not None:
                     self.client_listener.withdraw(ident)
+                else:
+                    self.note_useless()
             elif isinstance(frame, frames.ReadyQuery):
+                self.note_useless()
                 self.client_writer.write(frames.encode_ready_reply(frame.stream, self.client_listener.ready))
             elif frame.stream in self.client_writer.streams or not self.used_streams.use(frame.stream):
                 raise frames.BadFrame("stream used again")
             elif len(self.client_writer.streams) >= MAX_OPEN_STREAMS:
+                self.note_useless()
                 self.client_writer.write(encode(frame.stream, Answer("rejected", self.client_listener.admission.retry_after_ms)))
+            elif self.client_listener.admission.handle_request(frame, self.client_writer, received_at):
+                self.sent_usable_request = True
+                self.useful_frames += 1
             else:
-                self.sent_usable_request |= self.client_listener.admission.handle_request(frame, self.client_writer, received_at)
+                self.note_useless()
         except frames.BadFrame:
             raise
         except Exception:
@@ -249,6 +291,11 @@
         with self.client_writer.lock:
             return not self.client_writer.ended and (bytes_received(self.sock) or 0) > self.client_writer.processed_bytes
 
+    def has_bytes_to_handle(self) -> bool:
+        """Whether bytes of a client that has not closed are in the socket, or with a reader that has not processed them: it may wait for
+        its turn, or for a core."""
+        return self.has_unread_bytes() or self.has_unprocessed_bytes()
+
     def reason_to_close(self, now: float) -> CloseReason | None:
         """Why the connection is to be closed now; None if it is not."""
         client_writer = self.client_writer
@@ -292,6 +339,7 @@
         self.close_reasons = ReasonCounter(CloseReason)  # connections that this side closed
         self.lock = threading.Lock()
         self.descriptor_freed = threading.Condition(self.lock)
+        self.read_turns = ReadTurns()
         self.listening_socket = listen_at(address)
         self.accepting = AcceptFailures()
         self.accept_thread: threading.Thread | None = None  # the thread that executes `run`
@@ -350,7 +398,7 @@
             clients = list(self.clients)
         for client in clients:
             why = client.reason_to_close(now)
-            if why and not (why in (CloseReason.IDLE, CloseReason.HALF_FRAME) and client.has_unread_bytes()):
+            if why and not (why in (CloseReason.IDLE, CloseReason.HALF_FRAME) and client.has_bytes_to_handle()):
                 self.note_close(client, why)
                 if client.client_writer.shut_at:
                     client.client_writer.cut_off()
@@ -379,7 +427,7 @@
                 (c for c in self.clients if not c.client_writer.streams and not c.client_writer.shut_at),
                 key=lambda c: (c.sent_usable_request, c.client_writer.idle_since),
             ):
-                if not client.has_unread_bytes() and client.client_writer.shut_if_idle():
+                if not client.has_bytes_to_handle() and client.client_writer.shut_if_idle():
                     self.note_close(client, CloseReason.DESCRIPTORS)
                     break
             shut_clients = sorted((c for c in self.clients if c.client_writer.shut_at), key=lambda c: c.client_writer.shut_at)
@@ -478,6 +526,6 @@
         with self.lock:
             clients = list(self.clients)
         for client in clients:
-            if late or not (client.unfinished_bytes or client.has_unread_bytes() or client.has_unprocessed_bytes()):
+            if late or not (client.unfinished_bytes or client.has_bytes_to_handle()):
                 client.client_writer.close_when_done()
         return all(client.client_writer.shut_at for client in clients)
--- a/fieldspur/permissions.py
+++ b/fieldspur/permissions.py
@@ -18,6 +18,9 @@
 REPEAT_MARGIN = 50 * MS  # for a repeat to reach its server after it is written: what the protocol allows for each time limit
 FRAME_WAIT_S = 2.0  # for the rest of an unfinished frame
 IDLE_WAIT_S = 5.0  # clients close by themselves after 4 s without a request
+MAX_USELESS_FRAMES = 16  # frames of no use that a connection may send without a wait
+USELESS_FRAMES_PER_S = 8.0  # rate at which they are forgotten
+MAX_USELESS_DEBT = 64.0  # useless frames that are remembered at most: a connection is as any other some seconds after it stops
 AFTER_SHUT_S = 0.5  # for a client to close its side after this side was shut
 RESOURCES_EXHAUSTED = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 # Errors of `connect` and `socket` that this machine causes and not the server: they do not count against the server, and nothing was sent.
@@ -223,6 +226,23 @@
 # Client connections.
 
 
+class UselessFrameBudget:
+    """Tells whether a connection sends so much of no use that its reader has to wait for its turn (net/read_turns.py).
+
+    Useless are requests that can't be used, requests beyond the number that may be open, and queries and withdrawals that change nothing.
+    A connection may send some at any time; beyond that, each takes its share of a rate, and requests of use make up for it."""
+
+    def __init__(self, now: float):
+        self.useless_frames, self.counted_at = 0.0, now  # not yet made up for; seconds of one clock
+
+    def add(self, useless: int, useful: int, now: float) -> bool:
+        """Counts the frames of one read. Returns whether the next read has to wait for its turn."""
+        made_up = (now - self.counted_at) * USELESS_FRAMES_PER_S + useful
+        self.useless_frames, self.counted_at = max(0.0, self.useless_frames - made_up) + useless, now
+        self.useless_frames = min(self.useless_frames, MAX_USELESS_DEBT)
+        return self.useless_frames > MAX_USELESS_FRAMES
+
+
 @record()
 class ClientState:
     """State of a client's connection when the sweep checks it. Times are seconds of one clock."""
--- /dev/null
+++ b/tests/test_bad_clients.py
@@ -0,0 +1,130 @@
+"""Hundreds of bad clients at full speed cost usual clients no answer, and a router no memory beyond its limit."""
+
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+import pytest
+from helpers import Cache, until
+
+ReadTurns = None
+MAX_USELESS_DEBT = MAX_USELESS_FRAMES = USELESS_FRAMES_PER_S = UselessFrameBudget = None
+
+LIMIT_MS = 1250
+LATE_S = 0.5 + 0.05  # an answer up to half a second after its time only earns nothing; the protocol adds 50 ms
+BAD_CLIENTS, PROGRAMS = 330, 3
+SOCKETS = 1024  # of which clients hold a third at most: 341
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS}
+
+
+class BadClients:
+    """Programs with bad clients; `ended` waits for them and returns how many answers they got."""
+
+    def __init__(self, address, kind, seconds, count=BAD_CLIENTS):
+        command = [sys.executable, str(Path(__file__).parent / "bad_clients.py"), address, str(count // PROGRAMS), str(seconds), kind]
+        self.programs = [subprocess.Popen(command, stdout=subprocess.PIPE) for _ in range(PROGRAMS)]
+
+    def ended(self):
+        return sum(int(program.communicate(timeout=60)[0]) for program in self.programs)
+
+    def are_running(self):
+        return any(program.poll() is None for program in self.programs)
+
+
+def usual_requests(client, while_true, pause_s=0.1):
+    """Sends ten requests a second, whether or not earlier ones are answered, and returns how long each took to be answered."""
+    sent_at, waits = {}, []
+
+    def read_answers():
+        while answer := client.get():
+            if answer[0] == 66:
+                waits.append(time.monotonic() - sent_at.pop(answer[1]))
+
+    reader = threading.Thread(target=read_answers)
+    reader.start()
+    stream = 100
+    while while_true():
+        stream += 1
+        if len(sent_at) < 16:
+            sent_at[stream] = time.monotonic()
+            client.ask(stream, limit=str(LIMIT_MS))
+        time.sleep(pause_s)
+    until(lambda: not sent_at, "an answer to each request")
+    client.sock.shutdown(socket.SHUT_RDWR)
+    reader.join(20)
+    return waits
+
+
+@pytest.mark.parametrize("kind", ["unusable"])
+def test_usual_requests_are_answered_in_time_beside_hundreds_of_bad_clients(run, kind):
+    """Readers of bad clients' connections had the interpreter in turn with all other threads: requests were answered seconds late."""
+    service = run(Cache(), limits=LIMITS)
+    client = service.client()
+    bad_clients = BadClients(service.address, kind, seconds=12)
+    waits = usual_requests(client, bad_clients.are_running)
+    assert bad_clients.ended() > BAD_CLIENTS * 32  # all were answered, most more than once
+    assert max(waits) < LIMIT_MS / 1000 + LATE_S, sorted(waits)[-5:]
+
+
+def test_a_usable_request_behind_useless_ones_is_answered(run):
+    """A connection that has to wait for its turn gets it although others ask for it all the time."""
+    service = run(Cache(), limits=LIMITS)
+    client = service.client()
+    bad_clients = BadClients(service.address, "unusable", seconds=4, count=60)
+    for stream in range(1, 100):
+        client.ask(stream, verb="nosuch")
+    client.ask(100)
+    answers = [client.get() for _ in range(100)]
+    assert {answer[:3] for answer in answers} == {(66, stream, 69) for stream in range(1, 100)} | {(66, 100, 79)}
+    bad_clients.ended()
+
+
+def test_turns_are_taken_in_the_order_in_which_readers_asked():
+    turns, order = ReadTurns(), []
+    turns.take()
+
+    def take(number):
+        turns.take()
+        order.append(number)
+        turns.pass_on()
+
+    threads = []
+    for number in range(20):
+        threads.append(threading.Thread(target=take, args=(number,)))
+        threads[-1].start()
+        until(lambda: len(turns.waiting) == len(threads))
+    turns.pass_on()
+    for thread in threads:
+        thread.join(20)
+    assert order == list(range(20)) and not turns.taken
+
+
+def test_a_reader_that_ends_with_its_turn_passes_it_on(run):
+    """A client that resets its connection, or sends something unreadable, while its reader has the turn does not stop all others."""
+    service = run(Cache())
+    for number in range(20):
+        client = service.client()
+        for stream in range(1, 60):
+            client.ask(stream, verb="nosuch")
+        until(lambda client=client: client.get())
+        if number % 2:
+            client.sock.sendall(struct.pack(">IBI", 2, 65, 1))  # no frame is so short
+        client.sock.close()
+    client = service.client()
+    for stream in range(1, 100):
+        client.ask(stream, verb="nosuch")
+    client.ask(100)
+    assert {client.get()[1] for _ in range(100)} == set(range(1, 101))
+
+
+def test_a_connection_waits_for_turns_only_while_it_sends_much_of_no_use():
+    budget = UselessFrameBudget(now=0.0)
+    assert not budget.add(useless=MAX_USELESS_FRAMES, useful=0, now=0.0)
+    assert budget.add(useless=1, useful=0, now=0.0)
+    assert not budget.add(useless=0, useful=1, now=0.0)  # made up for
+    assert budget.add(useless=10**6, useful=0, now=0.0)
+    assert not budget.add(useless=0, useful=0, now=MAX_USELESS_DEBT / USELESS_FRAMES_PER_S)
