--- a/tests/test_arrival.py
+++ b/tests/test_arrival.py
@@ -130,12 +130,14 @@
 
 def test_what_comes_while_the_reader_waits_for_its_turn_may_have_come_since_the_read_before(reader):
     """Otherwise a server would get a deadline that a client no longer has whose request lay in the socket meanwhile."""
-    arrivals, _, _ = reader
+    arrivals, answer_sender, _ = reader
     arrivals.note_read(12_000 * MS, False)
     arrivals.reader_waits()
     arrivals.all_processed(unfinished=False)
-    arrivals.note_read(12_900 * MS, False)
+    answer_sender.tick(12_200 * MS)
+    arrivals.note_read(12_400 * MS, False)
     assert arrivals.request_time(followed=True) == 12_000 * MS
     arrivals.all_processed(unfinished=False)
-    arrivals.note_read(13_900 * MS, False)  # it did not wait after that read
-    assert arrivals.request_time(followed=True) == 13_900 * MS
+    answer_sender.tick(12_400 * MS)
+    arrivals.note_read(12_600 * MS, False)  # it did not wait after that read
+    assert arrivals.request_time(followed=True) == 12_600 * MS
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -11,8 +11,8 @@
 import pytest
 from helpers import Cache, until
 
-ReadTurns = None
-MAX_USELESS_DEBT = MAX_USELESS_FRAMES = USELESS_FRAMES_PER_S = UselessFrameBudget = None
+from fieldspur.net.read_turns import ReadTurns
+from fieldspur.permissions import MAX_USELESS_DEBT, MAX_USELESS_FRAMES, USELESS_FRAMES_PER_S, UselessFrameBudget
 
 LIMIT_MS = 1250
 LATE_S = 0.5 + 0.05  # an answer up to half a second after its time only earns nothing; the protocol adds 50 ms
