The id of an open request is not forgotten, however many further ids come

Cause: an id counted as used while it was among the last 4,096 to 8,192, however long its request was open; two generations of ids are dropped by number alone. By reading, another of the same kind: two requests under one id that come at the same moment on two connections were both taken, as the look and the note were two steps.

Change: where a generation is dropped, the ids of all open txns go into the new one, which may hold so many more; so they are looked through once in 4,096 ids, and nothing is added to the ordinary path. OpenTxns.add looks and notes under its lock and says whether it took the txn.

--- a/fieldspur/net/client_listener.py
+++ b/fieldspur/net/client_listener.py
@@ -11,14 +11,13 @@
 from bisect import bisect_right
 
 from fieldspur.net import frames
-from fieldspur.net.admission import Admission
+from fieldspur.net.admission import Admission, ReadTurns
 from fieldspur.net.arrival_times import LATE_READ, READS_PER_CORE_WAIT_CHECK, ArrivalTimes
 from fieldspur.net.client_writer import TICK, AnswerSender, ClientWriter
 from fieldspur.net.invariants import contained_errors, retry_while_exhausted
 from fieldspur.net.logs import ReasonCounter
 from fieldspur.net.nonblocking import MONOTONIC_TO_UNIX_NS, PEER_CLOSED, bytes_received, receive_poll
 from fieldspur.net.open_txns import Answer, OpenTxns
-from fieldspur.net.read_turns import ReadTurns
 from fieldspur.net.timer_wheel import NEVER
 from fieldspur.permissions import AcceptFailures, ClientState, CloseReason, UselessFrameBudget, close_reason, may_cut
 from fieldspur.site import MS
--- a/fieldspur/net/open_txns.py
+++ b/fieldspur/net/open_txns.py
@@ -8,7 +8,7 @@
 from fieldspur.net.invariants import check_invariant
 from fieldspur.record import record
 
-MAX_RECENT_NAMES = 4096
+MAX_RECENT_NAMES = 4096  # names of ended txns in one generation
 
 
 @record()
@@ -51,8 +51,11 @@
         self.by_id: dict[int, Txn] = {}
         self.txn_numbers = itertools.count(1)
         self.lock = threading.Lock()
-        self.recent_names: set[str] = set()  # ids that clients gave to recent txns; each id may be used only once
-        self.older_names: set[str] = set()  # the full set before `recent_names`; dropping a whole set is cheaper than evicting ids singly
+        # The ids that clients gave to their txns, each of which may be used only once: those of all open txns, and of the last
+        # MAX_RECENT_NAMES others or more. They are in two generations, as dropping a whole set is cheaper than evicting ids singly.
+        self.recent_names: set[str] = set()
+        self.older_names: set[str] = set()
+        self.max_recent_names = MAX_RECENT_NAMES
         self.body_bytes = 0  # total size of the bodies of open txns
         self.counts = dict.fromkeys(("taken", "completed", "rejected", "aborted", "withdrawn", "unusable", "full", "late", "held_back"), 0)
 
@@ -61,20 +64,26 @@
             self.counts[event] += 1
             self.body_bytes += body_bytes_change
 
-    def add(self, txn: Txn) -> None:
+    def add(self, txn: Txn) -> bool:
+        """Opens the txn. Returns False, and changes nothing, if its name is known: of two txns under one name that come at the same
+        moment on two connections, one is opened."""
         if txn.ident in self.by_id:
             check_invariant(False, "a new number for each txn", txn=txn.ident)
-        self.by_id[txn.ident] = txn
         with self.lock:
+            if txn.name in self.recent_names or txn.name in self.older_names:
+                return False
+            self.by_id[txn.ident] = txn
             self.recent_names.add(txn.name)
-            if len(self.recent_names) > MAX_RECENT_NAMES:
-                self.older_names, self.recent_names = self.recent_names, set()
+            if len(self.recent_names) > self.max_recent_names:
+                self.drop_older_names()
             self.counts["taken"] += 1
             self.body_bytes += len(txn.body)
+        return True
 
-    def is_known_name(self, name: str) -> bool:
-        """Whether a recent txn had this id: one of the last MAX_RECENT_NAMES ids, or of up to as many before those."""
-        return name in self.recent_names or name in self.older_names
+    def drop_older_names(self) -> None:
+        """Forgets the older generation of names, but not those of open txns. The caller holds the lock."""
+        self.older_names, self.recent_names = self.recent_names, {txn.name for txn in list(self.by_id.values())}
+        self.max_recent_names = MAX_RECENT_NAMES + len(self.recent_names)
 
     def settle(self, ident: int, answer: Answer) -> Txn | None:
         """Removes the txn and returns it to the caller, who must send it `answer`. None if the txn has been answered or withdrawn."""
--- a/fieldspur/permissions.py
+++ b/fieldspur/permissions.py
@@ -227,7 +227,7 @@
 
 
 class UselessFrameBudget:
-    """Tells whether a connection sends so much of no use that its reader has to wait for its turn (net/read_turns.py).
+    """Tells whether a connection sends so much of no use that its reader has to wait for its turn (net/admission.py).
 
     Useless are requests that can't be used, requests beyond the number that may be open, and queries and withdrawals that change nothing.
     A connection may send some at any time; beyond that, each takes its share of a rate, and requests of use make up for it."""
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -11,7 +11,7 @@
 import pytest
 from helpers import Cache, until
 
-from fieldspur.net.read_turns import ReadTurns
+from fieldspur.net.admission import ReadTurns
 from fieldspur.permissions import MAX_USELESS_DEBT, MAX_USELESS_FRAMES, USELESS_FRAMES_PER_S, UselessFrameBudget
 
 LIMIT_MS = 1250
