Date the first read of a connection by when it came, not by 1970

Cause: `waited_after_read_at` began as 0, as `read_at` does, so the first read counted as one after a wait for a turn since 0. It begins as NEVER now.

--- a/fieldspur/net/arrival_times.py
+++ b/fieldspur/net/arrival_times.py
@@ -49,7 +49,7 @@
         self.earliest_known: int | None = None  # the earliest time at which bytes of this read can have arrived; None until it is needed
         self.core_waited = 0  # `core_wait` of this thread at the last check
         self.reads_since_check = 0  # number of reads since the last check of `core_wait`
-        self.waited_after_read_at = 0  # `read_at` of the last read after which the reader waited for its turn
+        self.waited_after_read_at = NEVER  # `read_at` of the last read after which the reader waited for its turn
         self.waited_since = NEVER  # if the reader waited for its turn between the read before and this one: when the former returned
 
     def note_read(self, now: int, more_in_socket) -> None:
--- a/fieldspur/net/server_connection.py
+++ b/fieldspur/net/server_connection.py
@@ -465,11 +465,17 @@
                 self.shut_down()
 
     def receive(self, decoder: resp.Decoder) -> int:
-        """Reads into the decoder's buffer and returns the number of bytes. Between replies it waits without limit; within a reply it raises
-        BadReply after the connect timeout."""
+        """Reads into the decoder's buffer and returns the number of bytes of the last read. Between replies it waits without limit; within
+        a reply it raises BadReply after the connect timeout. Reads that only bring a further part of one long reply are not returned: how
+        many of them a reply takes is up to the system."""
+        buffer = decoder.buffer
         while True:
             try:
-                return self.sock.recv_into(decoder.buffer.free_space())
+                size = self.sock.recv_into(buffer.free_space())
+                if not size or decoder.items_left or self.retired or buffer.end - buffer.start + size >= buffer.message_size:
+                    return size
+                buffer.end += size
+                self.last_received_at = time.monotonic_ns() + MONOTONIC_TO_UNIX_NS
             except BlockingIOError:
                 if decoder.in_reply():
                     raise resp.BadReply("an answer that stops short") from None
--- a/tests/test_arrival.py
+++ b/tests/test_arrival.py
@@ -141,3 +141,11 @@
     answer_sender.tick(12_400 * MS)
     arrivals.note_read(12_600 * MS, False)  # it did not wait after that read
     assert arrivals.request_time(followed=True) == 12_600 * MS
+
+
+def test_the_first_read_of_a_connection_is_not_taken_for_one_after_a_wait_for_a_turn(monkeypatch):
+    """Requests were dated by 1970 and rejected at once."""
+    monkeypatch.setattr(arrival_times, "time_since_last_data", lambda sock: 0)
+    arrivals = ArrivalTimes(socket.socket(), AnswerSender(1 << 20))
+    arrivals.note_read(12_000 * MS, False)
+    assert arrivals.request_time(followed=True) > 10_000 * MS
