A connection with open requests is not closed for an unfinished one, nor a slow client's

Cause: the time of an unfinished frame ran from the first read that ended within a frame, whatever frames were completed since; and after it the connection was failed although requests were open, so that what came next was dropped. The protocol lets a router close a connection that has no open request.

Change: the 2 s count from the last bytes of the frame; a whole frame may take 30 s; with a request open nothing is closed for it.

--- a/fieldspur/net/client_listener.py
+++ b/fieldspur/net/client_listener.py
@@ -112,8 +112,9 @@
         self.client_writer = ClientWriter(sock, encode, client_listener.answer_sender)
         self.client_writer.on_descriptor_freed = self.descriptor_freed
         self.used_streams = UsedStreams()
-        self.state_since = time.monotonic()  # the time of the accept, the start of an unfinished frame, or the failure
+        self.state_since = time.monotonic()  # the time of the accept, of the last bytes of an unfinished frame, or of the failure
         self.unfinished_bytes = 0  # received bytes of an unfinished frame
+        self.frame_since = 0.0  # when that frame began
         self.sent_usable_request = False
         self.failed = False  # the client sent something unreadable; further bytes are discarded
         self.useless_frames = self.useful_frames = 0  # since they were last added to `useless_budget`
@@ -154,6 +155,7 @@
                 if self.waits_for_turn:
                     self.take_turn(arrivals)
                 self.client_listener.router_host.start_batch()
+                completed_any = False
                 try:
                     for frame in decoder.decode_received(size):
                         self.handle_frame(
@@ -162,14 +164,14 @@
                             if arrivals.late_since == NEVER
                             else arrivals.request_time(receive_buffer.start < receive_buffer.end),
                         )
-                        handled_any = True
+                        handled_any = completed_any = True
                         if self.failed:
                             break
                     unfinished_bytes = receive_buffer.end - receive_buffer.start
                     if arrivals.late_since != NEVER:
                         arrivals.all_processed(unfinished=unfinished_bytes > 0)
                     if unfinished_bytes or self.unfinished_bytes:
-                        self.set_unfinished(unfinished_bytes)
+                        self.set_unfinished(unfinished_bytes, completed_any)
                 except frames.BadFrame as error:
                     self.fail(str(error))
                 finally:
@@ -225,10 +227,12 @@
         self.client_writer.on_descriptor_freed = None  # breaks a reference cycle, which would wait for a rare garbage collection
         self.client_listener.connection_freed(self)
 
-    def set_unfinished(self, size: int) -> None:
-        """Notes how many bytes of an unfinished frame were received."""
-        if size and not self.unfinished_bytes:
+    def set_unfinished(self, size: int, completed_any: bool = False) -> None:
+        """Notes how many bytes of an unfinished frame were received. `completed_any`: the same read completed a frame before that one."""
+        if size:
             self.state_since = time.monotonic()
+            if completed_any or not self.unfinished_bytes:
+                self.frame_since = self.state_since
         if size != self.unfinished_bytes:
             self.client_listener.set_unfinished(self, size)
 
@@ -305,6 +309,7 @@
                 client_writer.draining,
                 self.failed,
                 self.unfinished_bytes,
+                self.frame_since,
                 self.state_since,
                 client_writer.idle_since,
                 self.sent_usable_request,
--- a/fieldspur/permissions.py
+++ b/fieldspur/permissions.py
@@ -16,7 +16,8 @@
 NEVER = 1 << 62
 UP, GONE = "up", "gone"
 REPEAT_MARGIN = 50 * MS  # for a repeat to reach its server after it is written: what the protocol allows for each time limit
-FRAME_WAIT_S = 2.0  # for the rest of an unfinished frame
+FRAME_WAIT_S = 2.0  # for the next bytes of an unfinished frame
+FRAME_LIMIT_S = 30.0  # for a whole frame, however steadily its bytes come
 IDLE_WAIT_S = 5.0  # clients close by themselves after 4 s without a request
 MAX_USELESS_FRAMES = 16  # frames of no use that a connection may send without a wait
 USELESS_FRAMES_PER_S = 8.0  # rate at which they are forgotten
@@ -252,24 +253,26 @@
     writing: bool  # answers wait for the client to read them
     failed: bool  # the client sent something unreadable
     unfinished_bytes: int  # received bytes of an unfinished frame
-    since: float  # when that frame began, when reading failed, or when the connection was accepted
+    frame_since: float  # when that frame began
+    since: float  # when the last bytes of that frame came, when reading failed, or when the connection was accepted
     idle_since: float  # when something was last written
     sent_valid_request: bool  # such a client may be idle for longer
 
 
 def close_reason(client: ClientState, now: float, no_reader_s: float) -> CloseReason | None:
-    """Why a connection is to be closed now, or None. A client that waits for an answer is never closed only because it is slow."""
+    """Why a connection is to be closed now, or None. A client that waits for an answer is never closed only because it is slow, nor one
+    whose request comes slowly: what it completes would be read and never answered."""
     waited_s, idle_s = now - client.since, now - client.idle_since
     if client.shut_at:
         return CloseReason.AFTER_SHUT if now - client.shut_at > AFTER_SHUT_S else None
     if client.has_open_txns:
-        return CloseReason.HALF_FRAME if client.unfinished_bytes and waited_s > FRAME_WAIT_S else None
+        return None
     if client.writing:
         return CloseReason.NO_READER if idle_s > no_reader_s else None
     if client.failed:
         return CloseReason.UNREADABLE if waited_s > AFTER_SHUT_S else None
     if client.unfinished_bytes:
-        return CloseReason.HALF_FRAME if waited_s > FRAME_WAIT_S else None
+        return CloseReason.HALF_FRAME if waited_s > FRAME_WAIT_S or now - client.frame_since > FRAME_LIMIT_S else None
     return CloseReason.IDLE if idle_s > (IDLE_WAIT_S if client.sent_valid_request else FRAME_WAIT_S) else None
 
 
