A silent notice board is asked again beside the connection that is kept

Cause: one limit of 2 s for a board that has stopped and for one that is slow, which can't be told apart; a slow one was never waited for.

Change: after 2 s without a whole line events are asked for over a further connection; the silent ones stay, four at most, until one brings a line. Asking again comes as soon as before, and a slow first line or a line over a slow way is heard when it comes.

--- a/fieldspur/net/discovery.py
+++ b/fieldspur/net/discovery.py
@@ -15,7 +15,9 @@
 
 log = logging.getLogger("fieldspur.board")
 STATES = {"up": "up", "draining": "draining", "removed": "gone"}  # of a server: as discovery calls it -> as the Router does
-SILENCE_LIMIT_S = 2.0  # a connection without a whole line for that long is closed; the service writes one line each second
+SILENCE_LIMIT_S = 2.0  # after that long without a whole line the events are asked for again; the service writes one line each second
+MAX_WATCHES = 4  # connections at once, so that the oldest may be silent for 8 s: all counts as told after 7 s
+FURTHER_CONNECT_LIMIT_S = 0.25  # for a further connection, as nothing is read from the others meanwhile
 MIN_RECONNECT_S = 0.05  # pause before a reconnect; doubled after each connection that brought no event
 MAX_RECONNECT_S = 1.0
 MAX_LINE_BYTES = 4 << 20
@@ -75,6 +77,24 @@
     """Events are missing between the last one and the received number."""
 
 
+WATCH_ERRORS = OSError, ValueError, RecursionError, ConfigError, EventGap  # end one connection
+
+
+class Watch:
+    """One connection over which events were asked for."""
+
+    def __init__(self, sock: socket.socket):
+        self.sock = sock
+        self.partial_line = b""
+
+    def has_unread_bytes(self) -> bool:
+        if self.sock.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(self.sock, select.POLLIN)
+        return any(event & select.POLLIN for _, event in poll.poll(0))  # a socket that is not connected does not count
+
+
 class DiscoveryClient:
     """Receives the events of the discovery service and passes each to `subscriber` once, in order.
 
@@ -86,7 +106,7 @@
         self.config_events: list = []  # events from a new configuration, not handled yet
         self.address_changed = threading.Event()  # set until `run` has noticed the change
         self.caught_up = threading.Event()  # set once all past events have arrived without a gap
-        self.sock: socket.socket | None = None  # the current connection
+        self.watches: tuple[Watch, ...] = ()  # the open connections, the oldest first; usually one
         self.read_lock = threading.Lock()  # held from a read until its events are passed to the subscriber
         self.thread_ident = 0  # ident of the thread that reads
         self.last_line_at = time.monotonic()  # when the last whole line arrived
@@ -141,11 +161,7 @@
         """Returns whether data lies unread in the socket, or no line came for so long that events may have been missed."""
         if time.monotonic() - self.last_line_at > SILENCE_LIMIT_S and self.excused_line_at != self.last_line_at:
             return True
-        sock, poll = self.sock, select.poll()
-        if sock is None or sock.fileno() < 0:
-            return False
-        poll.register(sock, select.POLLIN)
-        return any(event & select.POLLIN for _, event in poll.poll(0))  # a socket that is not connected does not count
+        return any(watch.has_unread_bytes() for watch in self.watches)
 
     def wait_until_caught_up(self) -> None:
         """Waits, for a moment at most, until everything that the service has sent is passed on.
@@ -195,12 +211,11 @@
         """Switches to another address after a new configuration, with that configuration's events. Any thread may call it at any time."""
         self.server_address, self.config_events = server_address, config_events
         self.address_changed.set()
-        sock = self.sock
-        try:
-            if sock is not None:
-                sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass  # not connected yet: `read_events` checks `address_changed` after its connect
+        for watch in self.watches:
+            try:
+                watch.sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # not connected yet: `open_watch` checks `address_changed` after its connect
 
     def run(self) -> None:
         """The thread that reads: connects again and again, with a pause after each connection that ended."""
@@ -217,7 +232,7 @@
                         self.handle_event(value)
                 self.watch()
                 reason = "moved" if self.address_changed.is_set() else "closed"
-            except (OSError, ValueError, RecursionError, ConfigError, EventGap) as error:
+            except WATCH_ERRORS as error:
                 reason = str(error) or type(error).__name__
             wait = MIN_RECONNECT_S if self.last_number > number_before else min(MAX_RECONNECT_S, 2 * wait)
             self.log_lost(reason)
@@ -228,52 +243,112 @@
         log.warning("lost", extra={"kv": {"why": reason, "last": self.last_number}})
 
     def watch(self) -> None:
-        """Reads events over one connection until it ends."""
+        """Reads events until no connection is left."""
         try:
-            self.open_and_read()
+            self.read_events()
         finally:
             self.subscriber.finish_batch()  # handles what was passed on before the end
+            for watch in self.watches:
+                self.close_watch(watch)
 
-    def open_and_read(self) -> None:
-        sock = socket.socket()
+    def open_watch(self, connect_limit_s: float) -> None:
+        """Connects and asks for the events that follow. Raises OSError."""
+        watch = Watch(socket.socket())
+        self.watches += (watch,)
         try:
-            self.read_events(sock)
-        finally:
-            with self.read_lock:  # otherwise `may_be_behind` in another thread could poll a closed descriptor
-                sock.close()
-
-    def read_events(self, sock: socket.socket) -> None:
-        """Connects, and reads lines until the service closes the connection. Raises TimeoutError if the service falls silent."""
-        self.sock = sock
-        sock.settimeout(SILENCE_LIMIT_S / 2)
-        sock.connect(self.server_address)
-        if self.address_changed.is_set():
-            return
-        sock.sendall(b"watch %d\n" % self.last_number)
-        poll = select.poll()
-        poll.register(sock, select.POLLIN)
-        partial_line, line_at = b"", time.monotonic()
-        while True:  # data that has arrived is read before the silence is checked, however long this process was stopped
-            time_left = max(0.0, line_at + SILENCE_LIMIT_S - time.monotonic())
-            settling = self.last_line_at == line_at and not partial_line and not self.caught_up.is_set()
-            if poll.poll((min(time_left, SETTLE_S) if settling else time_left) * 1000):
-                # All arrived events are passed on before this thread runs the Router: otherwise it could write hops that take
-                # account of the first of these events only.
-                self.subscriber.start_batch()
-                with self.read_lock:
-                    data = sock.recv(65_536)
-                    if not data:
-                        return
-                    *lines, partial_line = (partial_line + data).split(b"\n")
-                    if len(partial_line) > MAX_LINE_BYTES:
-                        raise ValueError("a line too long")
-                    for line in lines:
-                        if line.strip():
-                            self.handle_line(line)
-                            self.last_line_at = line_at = time.monotonic()
-                if not poll.poll(0):
-                    self.subscriber.finish_batch()
-            elif settling:
+            watch.sock.settimeout(connect_limit_s)
+            watch.sock.connect(self.server_address)
+            if self.address_changed.is_set():
+                raise ConnectionAbortedError("moved")
+            watch.sock.sendall(b"watch %d\n" % self.last_number)
+        except BaseException:
+            self.close_watch(watch)
+            raise
+
+    def close_watch(self, watch: Watch) -> None:
+        self.watches = tuple(other for other in self.watches if other is not watch)
+        with self.read_lock:  # otherwise `may_be_behind` in another thread could poll a closed descriptor
+            watch.sock.close()
+
+    def read_events(self) -> None:
+        """Connects, and reads lines until the service closes the connection. Raises the error that ended it.
+
+        A service that stays silent is asked again over a further connection, and the silent one is kept: it may have stopped, so that
+        waiting for it would miss events, or be so crowded that it needs longer than SILENCE_LIMIT_S, so that closing it would miss them
+        for good. The first connection that brings a whole line stays, the others are closed."""
+        self.open_watch(SILENCE_LIMIT_S / 2)
+        asked_at, line_at = time.monotonic(), 0.0  # when events were last asked for; when the last line came since then
+        while self.watches:  # data that has arrived is read before the silence is checked, however long this process was stopped
+            silent_since = max(asked_at, line_at)
+            time_left = max(0.0, silent_since + SILENCE_LIMIT_S - time.monotonic())
+            settling = self.last_line_at == line_at and not self.watches[-1].partial_line and not self.caught_up.is_set()
+            ready = self.wait_for_data(min(time_left, SETTLE_S) if settling else time_left)
+            for watch in ready:
+                if self.read_lines(watch):
+                    line_at = self.last_line_at
+                    break  # the others are closed
+            if not ready and settling:
                 self.caught_up.set()
-            if time.monotonic() - line_at >= SILENCE_LIMIT_S:
-                raise TimeoutError("no whole line")
+            if self.watches and time.monotonic() - max(asked_at, line_at) >= SILENCE_LIMIT_S:
+                asked_at = time.monotonic()
+                self.ask_again()
+
+    def wait_for_data(self, limit_s: float) -> list[Watch]:
+        """Returns the connections with data or an end, after waiting for `limit_s` at most."""
+        poll, by_descriptor = select.poll(), {watch.sock.fileno(): watch for watch in self.watches}
+        for descriptor in by_descriptor:
+            poll.register(descriptor, select.POLLIN)
+        return [by_descriptor[descriptor] for descriptor, _ in poll.poll(limit_s * 1000)]
+
+    def ask_again(self) -> None:
+        """Opens a further connection beside those that are silent; the oldest one is given up if there are too many."""
+        log.warning("silent", extra={"kv": {"watches": len(self.watches), "last": self.last_number}})
+        if len(self.watches) >= MAX_WATCHES:
+            self.close_watch(self.watches[0])
+        try:
+            self.open_watch(FURTHER_CONNECT_LIMIT_S)
+        except OSError as error:
+            if self.address_changed.is_set():
+                raise
+            self.log_lost(str(error))
+
+    def read_lines(self, watch: Watch) -> bool:
+        """Reads from a connection and handles the lines. Returns whether there were any; if so, all other connections are closed. An error
+        or an end closes the connection; of the last one an error is raised."""
+        try:
+            has_lines = self.read_once(watch)
+        except WATCH_ERRORS as error:
+            is_last = len(self.watches) == 1
+            self.close_watch(watch)
+            if is_last:
+                raise
+            self.subscriber.finish_batch()
+            self.log_lost(str(error) or type(error).__name__)
+            return False
+        if has_lines:
+            for other in self.watches:
+                if other is not watch:
+                    self.close_watch(other)
+        return has_lines
+
+    def read_once(self, watch: Watch) -> bool:
+        """Reads from a connection once and handles the lines. Returns whether there were any."""
+        # All arrived events are passed on before this thread runs the Router: otherwise it could write hops that take
+        # account of the first of these events only.
+        self.subscriber.start_batch()
+        has_lines = False
+        with self.read_lock:
+            data = watch.sock.recv(65_536)
+            *lines, watch.partial_line = (watch.partial_line + data).split(b"\n")
+            if len(watch.partial_line) > MAX_LINE_BYTES:
+                raise ValueError("a line too long")
+            for line in lines:
+                if line.strip():
+                    self.handle_line(line)
+                    self.last_line_at = time.monotonic()
+                    has_lines = True
+        if not data:
+            self.close_watch(watch)
+        if not data or not watch.has_unread_bytes():
+            self.subscriber.finish_batch()
+        return has_lines
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -125,6 +125,62 @@
     assert discovery.watch_revisions == [1, 1] and time.monotonic() - began < SILENCE_LIMIT_S + 3
 
 
+@pytest.mark.parametrize("first_line_s", [SILENCE_LIMIT_S + 1.0, SILENCE_LIMIT_S + 4.0])
+def test_a_drain_told_by_a_crowded_service_that_is_slow_with_each_first_line_takes_effect(run, first_line_s):
+    """Each connection was closed after 2 s and the events asked for anew: nothing was ever heard, and a draining server got requests."""
+    caches, discovery = [Cache(lambda want: HIT) for _ in range(2)], DiscoveryStub(wait=first_line_s)
+    discovery.events.append(drain_event(caches))
+    began = time.monotonic()
+    service = run(*caches, notices=discovery)
+    expect_drained(service, caches, limit=first_line_s + 1)
+    discovery.events.append(drain_event(caches, rev=3, name="c1") | {"flush": {"collection": 7, "ms": 1}})
+    until(lambda: "rev=3" in service.lines(), limit=1)  # over the connection that was slow with its first line
+    assert time.monotonic() - began < first_line_s + 4 and service.process.poll() is None
+
+
+def test_a_line_that_takes_long_to_arrive_is_not_asked_for_in_vain(run):
+    """A complete list over a slow way: its connection was closed after 2 s without a whole line, however much of the line had arrived."""
+    caches, discovery = [Cache(lambda want: HIT) for _ in range(2)], DiscoveryStub()
+    line = json.dumps(drain_event(caches)).encode() + b"\n"
+
+    def serve(conn):
+        discovery.watch_revisions.append(int(conn.makefile("rb").readline().split()[1]))
+        for byte in line:
+            conn.sendall(bytes((byte,)))
+            time.sleep((SILENCE_LIMIT_S + 1.0) / len(line))
+        discovery.sent_revisions.append(2)
+        while conn.recv(4096):
+            pass
+
+    discovery.serve = serve
+    service = run(*caches, notices=discovery)
+    expect_drained(service, caches, limit=SILENCE_LIMIT_S + 2.0)
+
+
+def test_at_most_four_connections_wait_for_a_service_that_says_nothing(run):
+    """The oldest is kept for longer than the time after which all counts as told."""
+    caches, discovery = [Cache(lambda want: HIT) for _ in range(2)], ScriptedDiscovery(*["silent"] * 9)
+    service = run(*caches, notices=discovery)
+    service.client()
+    until(lambda: len(discovery.watches) == 4)
+    assert "event=lost" not in service.lines() and service.lines().count("event=silent") == 3
+    until(lambda: len(discovery.watches) == 5)
+    time.sleep(0.2)
+    assert open_connections(service.process.pid, discovery.sock.getsockname()[1]) == 4
+
+
+def open_connections(pid, port):
+    """How many established TCP connections a process has to this port."""
+    inodes = set()
+    for name in os.listdir(f"/proc/{pid}/fd"):
+        try:
+            inodes.add(os.readlink(f"/proc/{pid}/fd/{name}"))
+        except OSError:
+            pass  # closed meanwhile
+    rows = [row.split() for row in open("/proc/net/tcp").read().splitlines()[1:]]
+    return sum(int(row[2].split(":")[1], 16) == port and row[3] == "01" and f"socket:[{row[9]}]" in inodes for row in rows)
+
+
 def test_an_event_after_heartbeats_with_an_old_number_takes_effect(run):
     """Heartbeats without events keep the connection; the event that follows takes effect at once."""
     caches, discovery = [Cache(lambda want: HIT) for _ in range(2)], ScriptedDiscovery("an old number")
