Unfinished requests take their memory from a budget before they get it

Cause: frames were bounded after they were received, by closing the connection with most of them. Its memory was free only when its own reader had ended, and until then others grew on; buffers count twice while they grow; frames that can't be requests were kept; shares were taken of the whole limit, also where program and clients leave less.

Change: MemoryBudget, asked before a buffer grows; a request for which there is none is dropped as it comes and refused once complete, on its stream. Frames too long for a request are dropped at once; over 32 fields fail; a body is copied once; shares are scaled where they don't fit.

--- a/fieldspur/__main__.py
+++ b/fieldspur/__main__.py
@@ -32,6 +32,9 @@
 GC_OLDER_GENERATIONS = 50, 100  # thresholds: cycle detection is rare, as a txn leaves no cycles and a pass stops all threads
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)  # SIGHUP reads the files again; the others end the program
 CONNECTION_MEMORY_BYTES = 2 << 20  # share of the memory limit reserved for each connection to a server
+CLIENT_MEMORY_BYTES = 24 << 10  # of a client's connection: its thread, its buffers and what the system takes for them
+USABLE_MEMORY_SHARE = 0.9  # of the limit; the rest is for what the allocator can't use again
+MIN_SHARES_SCALE = 0.125
 FILE_RETRY_S = 0.05  # between two attempts to open a file
 CLIENT_CLOSE_WAIT_S = 0.2  # time in which clients may close their connections by themselves
 EXIT_MARGIN_S = 0.05  # left before SIGKILL for the last steps of the program
@@ -51,13 +54,22 @@
     os._exit(1)
 
 
+def shares_scale(node: Node, memory_shares) -> float:
+    """The factor for the memory shares of the operators' file. It is 1, or less where the shares together would not fit beside the program
+    itself and as many clients as the protocol allows, a third of the descriptors."""
+    fixed_bytes = logs.peak_memory_mb() * (1 << 20) + node.sockets // 3 * CLIENT_MEMORY_BYTES
+    wanted_bytes = node.memory * (memory_shares.answers + memory_shares.bodies + memory_shares.frames)
+    return max(MIN_SHARES_SCALE, min(1.0, (node.memory * USABLE_MEMORY_SHARE - fixed_bytes) / wanted_bytes))
+
+
 class Service:
     """The parts of one router, connected to each other, and their threads."""
 
     def __init__(self, node: Node, operator_settings: Operators = Operators()):
         site, self.node, self.operator_settings = node.site, node, operator_settings
         memory_shares = operator_settings.memory
-        self.answer_sender = AnswerSender(max_held_bytes=int(node.memory * memory_shares.answers))
+        shared_memory = node.memory * shares_scale(node, memory_shares)
+        self.answer_sender = AnswerSender(max_held_bytes=int(shared_memory * memory_shares.answers))
         self.open_txns = OpenTxns()
         # Half of the descriptors is for clients, who use a third at most; a quarter is for servers; the rest is a reserve.
         # A connection to a server takes up to 0.6 MB, so all of them together take less than a third of the memory.
@@ -77,9 +89,9 @@
         self.client_listener = ClientListener(
             node.listen,
             node.sockets // 2,
-            int(node.memory * memory_shares.frames),
+            int(shared_memory * memory_shares.frames),
             site.idle_timeout,
-            Admission(site, self.open_txns, self.router_host, int(node.memory * memory_shares.bodies)),
+            Admission(site, self.open_txns, self.router_host, int(shared_memory * memory_shares.bodies)),
             self.open_txns,
             self.router_host,
             self.answer_sender,
--- a/fieldspur/net/admission.py
+++ b/fieldspur/net/admission.py
@@ -49,12 +49,14 @@
             rule_index, keyed = self.rules.get(request.rule, (-1, False))
             problem = "verb: unknown" if rule_index < 0 else "unique: missing" if keyed and not request.key else ""
         else:
-            rule_index, problem = -1, request.why
+            rule_index, problem = -1, request.why if request.refusal is None else ""
         ident = next(self.open_txns.txn_numbers)
         if not client_writer.open_stream(request.stream, ident):
             return False
         if problem:
             return self.abort_unusable(request.stream, client_writer, problem)
+        if rule_index < 0:
+            return self.refuse(request.stream, client_writer, request.refusal)
         time_limit = min(request.limit, self.time_limits[rule_index])  # a client cannot keep a txn open for longer than its rule allows
         txn = Txn(
             ident,
@@ -83,15 +85,19 @@
             self.max_body_bytes,
         )
         if refusal is not None:
-            self.open_txns.count("full")
-            self.refusals.add(refusal)
-            client_writer.answer(request.stream, Answer("rejected", self.retry_after_ms))
-            return True
+            return self.refuse(request.stream, client_writer, refusal)
         if not self.open_txns.add(txn):
             return self.abort_unusable(request.stream, client_writer, "txn: used before")
         self.router_host.post(self.router_host.txn_arrived, txn)
         return True
 
+    def refuse(self, stream: int, client_writer: ClientWriter, refusal: Refusal) -> bool:
+        """Answers a request for which a limit of this process leaves no room. Returns True: the request may be usable."""
+        self.open_txns.count("full")
+        self.refusals.add(refusal)
+        client_writer.answer(stream, Answer("rejected", self.retry_after_ms))
+        return True
+
     def abort_unusable(self, stream: int, client_writer: ClientWriter, problem: str) -> bool:
         """Answers a request that can't be used. Returns False."""
         self.open_txns.count("unusable")
--- a/fieldspur/net/frames.py
+++ b/fieldspur/net/frames.py
@@ -5,7 +5,8 @@
 import re
 import struct
 
-from fieldspur.net.receive_buffer import ReceiveBuffer
+from fieldspur.net.receive_buffer import MemoryBudget, ReceiveBuffer
+from fieldspur.permissions import Refusal
 from fieldspur.record import record
 
 # Frame types.
@@ -26,6 +27,8 @@
 MAX_FRAME_LENGTH = 262_144
 MAX_STREAM = 2**32 - 1  # the largest stream number
 MAX_BODY_BYTES = 48_000  # of a request; answers are not limited here
+MAX_FIELDS_BYTES = 8_192  # of a request; those that are known take 1.6 KB at most
+MAX_FIELDS = 32  # of a request; nine are known
 MAX_LIMIT_MS = 2**31
 MAX_PART = 2**32
 MAX_GROUP = 255
@@ -62,10 +65,11 @@
 
 @record(frozen=True)
 class UnusableRequest:
-    """A request with a missing or invalid field, named in `why`."""
+    """A request with a missing or invalid field, named in `why`; with `refusal`, one that was not read for want of memory."""
 
     stream: int
     why: str
+    refusal: Refusal | None = None
 
 
 @record(frozen=True)
@@ -85,6 +89,8 @@
 def decode_fields(data: bytes) -> tuple[dict[str, str], int]:
     """Returns the fields at the start of a request's payload, and the offset at which they end."""
     fields, offset = {}, 1
+    if data and data[0] > MAX_FIELDS:
+        raise BadField("fields: too many")
     try:
         for _ in range(data[0]):
             name_end = offset + 1 + data[offset]
@@ -190,15 +196,20 @@
         group_number,
         float(kb) if kb else 0.0,
         tag.decode() if tag else None,
-        bytes(buf[match.end() : end]),
+        bytes(memoryview(buf)[match.end() : end]) if match.end() < end else b"",
     )
 
 
 class Decoder:
-    """Decodes the frames that one client sends, however they are split across reads."""
+    """Decodes the frames that one client sends, however they are split across reads.
 
-    def __init__(self):
-        self.receive_buffer = ReceiveBuffer(INITIAL_BUFFER_BYTES, trust_length=False)
+    A frame that can't be used, or for which `budget` has no memory left, is skipped: its bytes are dropped as they come, and a value that
+    says why takes its place once it is complete."""
+
+    def __init__(self, budget: MemoryBudget | None = None):
+        self.receive_buffer = ReceiveBuffer(INITIAL_BUFFER_BYTES, trust_length=False, budget=budget)
+        self.bytes_to_skip = 0  # of the frame that is skipped
+        self.skipped_frame: UnusableRequest | Withdrawal | ReadyQuery | None = None  # what to yield at its end
 
     def feed(self, data: bytes):
         """Yields the values that `data` completes; raises BadFrame where the frames are malformed."""
@@ -209,6 +220,11 @@
         """Yields the values that are complete after `size` bytes were read into the free space of the receive buffer."""
         receive_buffer = self.receive_buffer
         receive_buffer.end += size
+        if self.bytes_to_skip:
+            self.skip_received()
+            if self.bytes_to_skip:
+                return
+            yield self.skipped_frame
         while receive_buffer.end - receive_buffer.start >= FRAME_HEAD.size:
             start = receive_buffer.start
             length, frame_type, stream = FRAME_HEAD.unpack_from(receive_buffer.buf, start)
@@ -218,6 +234,7 @@
                 raise BadFrame("type not for a router")
             if receive_buffer.end - start < 4 + length:
                 receive_buffer.message_size = 4 + length
+                self.prepare_for_rest(length, frame_type, stream)
                 return
             receive_buffer.start, receive_buffer.message_size = start + 4 + length, 0
             if frame_type == REQUEST:
@@ -226,6 +243,34 @@
             else:
                 yield Withdrawal(stream) if frame_type == WITHDRAW else ReadyQuery(stream)
 
+    def prepare_for_rest(self, length: int, frame_type: int, stream: int) -> None:
+        """Makes room for the rest of an incomplete frame, or begins to skip it."""
+        if frame_type != REQUEST:
+            if 4 + length > INITIAL_BUFFER_BYTES:
+                self.begin_skip(Withdrawal(stream) if frame_type == WITHDRAW else ReadyQuery(stream))
+        elif length > MIN_FRAME_LENGTH + MAX_FIELDS_BYTES + MAX_BODY_BYTES:
+            self.begin_skip(UnusableRequest(stream, "body: too long"))
+        elif not self.receive_buffer.make_room():
+            self.begin_skip(UnusableRequest(stream, "no memory", Refusal.FRAME_MEMORY))
+
+    def begin_skip(self, skipped_frame: UnusableRequest | Withdrawal | ReadyQuery) -> None:
+        """Drops what was received of an incomplete frame, and has the rest dropped as it comes."""
+        receive_buffer = self.receive_buffer
+        self.skipped_frame = skipped_frame
+        self.bytes_to_skip = receive_buffer.message_size - len(receive_buffer)
+        receive_buffer.release()
+
+    def skip_received(self) -> None:
+        """Drops received bytes of the frame that is skipped."""
+        receive_buffer = self.receive_buffer
+        size = min(self.bytes_to_skip, len(receive_buffer))
+        receive_buffer.start += size
+        self.bytes_to_skip -= size
+
+    def unfinished_bytes(self) -> int:
+        """Received bytes of an unfinished frame; more than 0 also if they were dropped."""
+        return len(self.receive_buffer) or self.bytes_to_skip
+
 
 MAX_JOINED_BODY_BYTES = 8192  # up to this size a body is copied behind its head, as writing one buffer costs less than two
 
--- a/fieldspur/permissions.py
+++ b/fieldspur/permissions.py
@@ -55,6 +55,7 @@
     OPEN_REQUESTS = "open_requests"  # the settings allow no more open txns
     EVENTS_BEHIND = "events_behind"
     BODY_MEMORY = "body_memory"
+    FRAME_MEMORY = "frame_memory"  # for a request that has come in part
 
 
 class GiveUp(str, Enum):
@@ -78,7 +79,6 @@
     AFTER_SHUT = "shut"  # the client does not close its side
     NO_READER = "takes no answers"
     UNREADABLE = "unreadable"
-    FRAME_MEMORY = "frame memory"
     DESCRIPTORS = "descriptors"
     NO_THREAD = "no thread"
     NO_OPTIONS = "no options"  # no socket options can be set, because the client reset the connection before it was accepted
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -329,6 +329,12 @@
     return value
 
 
+def peak_memory_mb(pid):
+    """The peak resident memory of a process in MiB."""
+    with open(f"/proc/{pid}/status") as status:
+        return int(next(line for line in status if line.startswith("VmHWM")).split()[1]) / 1024
+
+
 def pause(process):
     """Stops a process, and returns once all of its threads have stopped, which takes a moment on a busy machine."""
     process.send_signal(signal.SIGSTOP)
