An id whose effect may have happened is not taken again after its client has left

Cause: withdraw forgot the id of a request whose client had left, whatever its kind and whether an attempt was written; the second request is a new txn, and the rule on repeats looks at the attempts of one txn.

Change: may_come_again (permissions.py) decides: repeatable ones, and those of which no attempt was or will be written. The Router's thread asks once it has cancelled the attempt, so no writer can come in between. The other ids are kept apart from those of ordinary traffic, 4,096.

--- a/fieldspur/net/client_listener.py
+++ b/fieldspur/net/client_listener.py
@@ -446,8 +446,9 @@
 
     def withdraw(self, ident: int, client_left: bool = False) -> None:
         """Withdraws a txn and notifies the Router, unless the txn has ended already."""
-        if self.open_txns.withdraw(ident, client_left):
-            self.router_host.post(self.router_host.txn_withdrawn, ident)
+        txn = self.open_txns.withdraw(ident)
+        if txn is not None:
+            self.router_host.post(self.router_host.txn_withdrawn, ident, txn if client_left else None)
 
     def connection_freed(self, client: ClientConnection) -> None:
         """Removes a connection whose descriptor is free."""
--- a/fieldspur/net/connection_pool.py
+++ b/fieldspur/net/connection_pool.py
@@ -159,8 +159,8 @@
                 if (client_state := txn.client_writer.check_client(hop)) is UNREAD_BYTES:
                     return False
                 if client_state is CLIENT_LEFT:
-                    if self.open_txns.withdraw(txn.ident, client_left=True):  # False: the client's reader has just done so
-                        self.host.post(self.host.txn_withdrawn, txn.ident)
+                    if self.open_txns.withdraw(txn.ident) is not None:  # None: the client's reader has just done so
+                        self.host.post(self.host.txn_withdrawn, txn.ident, txn)
                     txn = None
             if txn is None:
                 self.refuse(hop, Refusal.CLIENT_LEFT)
--- a/fieldspur/net/open_txns.py
+++ b/fieldspur/net/open_txns.py
@@ -9,6 +9,7 @@
 from fieldspur.record import record
 
 MAX_RECENT_NAMES = 4096  # names of ended txns in one generation
+MAX_KEPT_NAMES = 4096
 
 
 @record()
@@ -56,6 +57,7 @@
         self.recent_names: set[str] = set()
         self.older_names: set[str] = set()
         self.max_recent_names = MAX_RECENT_NAMES
+        self.kept_names: dict[str, None] = {}  # see `keep_name`; the oldest first
         self.body_bytes = 0  # total size of the bodies of open txns
         self.counts = dict.fromkeys(("taken", "completed", "rejected", "aborted", "withdrawn", "unusable", "full", "late", "held_back"), 0)
 
@@ -70,7 +72,7 @@
         if txn.ident in self.by_id:
             check_invariant(False, "a new number for each txn", txn=txn.ident)
         with self.lock:
-            if txn.name in self.recent_names or txn.name in self.older_names:
+            if txn.name in self.recent_names or txn.name in self.older_names or txn.name in self.kept_names:
                 return False
             self.by_id[txn.ident] = txn
             self.recent_names.add(txn.name)
@@ -94,15 +96,23 @@
             self.count(answer.outcome, -len(txn.body))
         return txn
 
-    def withdraw(self, ident: int, client_left: bool = False) -> bool:
-        """Removes a txn that its client no longer waits for; it gets no answer. Returns False if the txn was not open any more.
-
-        With `client_left` the client's connection has ended: the client may send the same id again on another connection."""
+    def withdraw(self, ident: int) -> Txn | None:
+        """Removes a txn that its client no longer waits for, and returns it; it gets no answer. None if the txn was not open any more."""
         txn = self.by_id.pop(ident, None)
         if txn is not None:
             self.count("withdrawn", -len(txn.body))
-            if client_left:
-                with self.lock:
-                    self.recent_names.discard(txn.name)
-                    self.older_names.discard(txn.name)
-        return txn is not None
+        return txn
+
+    def forget_name(self, name: str) -> None:
+        """Lets a client use the id again, because its client left and nothing that must not happen twice can come of it."""
+        with self.lock:
+            self.recent_names.discard(name)
+            self.older_names.discard(name)
+
+    def keep_name(self, name: str) -> None:
+        """Remembers the id of a txn whose client left and whose effect may have happened, for longer than the ids of others: it may come
+        again on another connection."""
+        with self.lock:
+            self.kept_names[name] = None
+            if len(self.kept_names) > MAX_KEPT_NAMES:
+                del self.kept_names[next(iter(self.kept_names))]
--- a/fieldspur/net/router_host.py
+++ b/fieldspur/net/router_host.py
@@ -19,7 +19,7 @@
 from fieldspur.net.open_txns import Answer, OpenTxns, Txn
 from fieldspur.net.server_connection import Hop
 from fieldspur.net.timer_wheel import NEVER, TimerWheel
-from fieldspur.permissions import GiveUp, StartupGate
+from fieldspur.permissions import GiveUp, StartupGate, may_come_again
 from fieldspur.site import MS, Deployment, build_router
 
 log = logging.getLogger("fieldspur.route")
@@ -301,10 +301,19 @@
             else:
                 self.router.end_now(ident)
 
-    def txn_withdrawn(self, ident: int) -> None:
-        """The client waits no longer for the txn."""
+    def txn_withdrawn(self, ident: int, left_by_client: Txn | None = None) -> None:
+        """The client waits no longer for the txn. `left_by_client`: the same txn, if its connection has ended; the client may then send it
+        again under the same id. That is decided only here, as a hop that the Router has cancelled can't be written any more."""
         self.gated_txns.pop(ident, None)
         self.router.txn_withdrawn(ident)
+        if left_by_client is None:
+            return
+        hop = left_by_client.last_hop
+        unsent = hop is None or (left_by_client.hop_count == 1 and hop.ended and not hop.written_at)
+        if may_come_again(self.site.rules[left_by_client.rule_index], unsent):
+            self.open_txns.forget_name(left_by_client.name)
+        else:
+            self.open_txns.keep_name(left_by_client.name)
 
     def hop_ended(self, hop: Hop, result: str, duration: int, reply: resp.Reply | None) -> None:
         """Reports the end of a hop or a probe to the Router, with its duration (ns)."""
--- a/fieldspur/permissions.py
+++ b/fieldspur/permissions.py
@@ -208,6 +208,14 @@
     return rule.kind == "repeatable" or not earlier_hops or (rule.kind == "keyed" and rule.dedup_scope == "all")
 
 
+def may_come_again(rule, unsent: bool) -> bool:
+    """Whether a request whose client has left may be taken once more under its id, as a new txn that knows nothing of the first.
+
+    `unsent`: no attempt of it was written or will be. A keyed one may not come again: its window runs from the first attempt, which the new
+    txn does not know."""
+    return unsent or rule.kind == "repeatable"
+
+
 # Admission.
 
 
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -102,6 +102,33 @@
     bad_clients.ended()
 
 
+def test_requests_of_a_client_that_leaves_while_its_reader_waits_for_its_turn_are_not_sent_on(run):
+    cache = Cache()
+    service = run(cache, limits=LIMITS)
+    bad_clients = BadClients(service.address, "unusable", seconds=5, count=150)
+    time.sleep(1.5)  # from now on a reader waits for its turn for some time
+    closed_at = {}
+    for number in range(10):
+        client = service.client()
+        for stream in range(1, 60):
+            client.ask(stream, verb="nosuch")
+        until(lambda client=client: client.get()[1] == 59)
+        client.ask(60, verb="nosuch")  # what comes after this read waits
+        client.ask(61, txn=f"{number + 1000:016x}")
+        client.sock.close()
+        client.file.close()
+        closed_at[f"{number + 1000:016x}"] = time.monotonic()
+        until(
+            lambda n=number: (
+                any(want["id"] == f"{n + 1000:016x}" for want in cache.wants) or time.monotonic() > closed_at[f"{n + 1000:016x}"] + 0.1
+            )
+        )
+    count_before = len(cache.wants)
+    bad_clients.ended()
+    time.sleep(0.3)
+    assert len(cache.wants) == count_before  # nothing begins over 0.1 s after its client closed
+
+
 def test_turns_are_taken_in_the_order_in_which_readers_asked():
     turns, order = ReadTurns(), []
     turns.take()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -477,7 +477,7 @@
     pool = sender(cache.address, open_txns=OpenTxns())
     client_writer = staying_client_writer(pool)
     hop = open_txn_with_hop(pool, client_writer, taken_ms_ago=50)
-    monkeypatch.setattr(client_writer, "check_client", lambda hop: (pool.open_txns.withdraw(5, client_left=True), CLIENT_LEFT)[1])
+    monkeypatch.setattr(client_writer, "check_client", lambda hop: (pool.open_txns.withdraw(5), CLIENT_LEFT)[1])
     connection = pool.enqueue(hop)
     until(lambda: connection.connected)
     connection.write_queued()
--- a/tests/test_used_ids.py
+++ b/tests/test_used_ids.py
@@ -1,8 +1,12 @@
 """The id of a request is used once: not again while the request is open, and not for an effect that may have happened."""
 
 import threading
+import time
 
-from fieldspur.net.open_txns import MAX_RECENT_NAMES, Answer, OpenTxns, Txn
+import pytest
+from helpers import CLASSES, Cache, DiscoveryStub, settings, until
+
+from fieldspur.net.open_txns import MAX_KEPT_NAMES, MAX_RECENT_NAMES, Answer, OpenTxns, Txn
 
 
 def open_txn(open_txns, ident, name=None, body=b""):
@@ -47,3 +51,67 @@
     for thread in threads:
         thread.join(60)
     assert sorted(taken) == list(range(200))
+
+
+ONCE = dict(CLASSES[1], name="once", repeat="at_most_once")
+
+
+def settings_with_unrepeatable():
+    site = settings()
+    site["classes"].append(ONCE)
+    for key, value in (("neverKept", True), ("goodForUs", 0), ("olderByUs", 0), ("classStaleWorth", 0.5)):
+        site["familyInfo"][key].append(value)
+    return site
+
+
+def leave(client, service):
+    """Closes a client's connection and waits until the router has noticed it."""
+    client.sock.close()
+    client.file.close()
+    time.sleep(0.3)
+    assert service.process.poll() is None
+
+
+@pytest.mark.parametrize("verb, unique, runs", [("once", {}, 1), ("checkout", {"unique": "k" * 8}, 1), ("media", {}, 2)])
+def test_an_id_that_comes_again_after_its_client_has_left_runs_again_only_if_it_may(run, verb, unique, runs):
+    """The id was forgotten as the client left, and an unrepeatable request that was at a server ran once more: 20 of 20."""
+    cache = Cache(lambda want: None)
+    service = run(cache, settings=settings_with_unrepeatable())
+    for stream in range(1, 6):
+        txn, count = f"{stream:016x}", len(cache.wants)
+        client = service.client()
+        client.ask(1, verb=verb, txn=txn, limit="3000", **unique)
+        until(lambda: len(cache.wants) > count)
+        leave(client, service)
+        client = service.client()
+        client.ask(1, verb=verb, txn=txn, limit="400", **unique)
+        answer = client.get()
+        assert answer[1] == 1 and answer[2] != 79
+        assert sum(want["id"] == txn for want in cache.wants) == runs
+        client.sock.close()
+
+
+def test_an_id_comes_again_if_nothing_was_sent_for_it(run):
+    """Its request waited at the gate of a start when its client left."""
+    cache = Cache()
+    service = run(cache, settings=settings_with_unrepeatable(), notices=DiscoveryStub(wait=1.0))
+    early = service.early()
+    early.ask(1, verb="once", txn="a" * 16)
+    leave(early, service)
+    client = service.client()
+    client.ask(1, verb="once", txn="a" * 16)
+    assert client.get()[:3] == (66, 1, 79) and len(cache.wants) == 1
+
+
+def test_ids_of_effects_that_may_have_happened_are_kept_longer_than_others_and_are_bounded():
+    open_txns = OpenTxns()
+    assert open_txn(open_txns, 1, "a" * 16)
+    open_txns.withdraw(1)
+    open_txns.keep_name("a" * 16)
+    for ident in range(2, 4 * MAX_RECENT_NAMES):
+        open_txn(open_txns, ident)
+        open_txns.settle(ident, Answer("completed"))
+    assert not open_txn(open_txns, -1, "a" * 16)
+    for number in range(2 * MAX_KEPT_NAMES):
+        open_txns.keep_name(f"b{number:015x}")
+    assert len(open_txns.kept_names) == MAX_KEPT_NAMES
