Bare numbers at a fleet member's address count only after a line of that member

Cause: Peer.handle_line took each bare number for a heartbeat of the member whose address it reads; only lines with content name their sender.

Change: each connection begins with a line with content; numbers count on a connection whose last such line was accepted.

Not played: whole fleets with such a process.

--- a/fieldspur/fleet/transport.py
+++ b/fieldspur/fleet/transport.py
@@ -81,16 +81,21 @@
         self.change_address(self.server_address, [])
 
     def handle_line(self, data: bytes) -> None:
+        """Handles a line with content, which each connection begins with, or a bare number, which says that the member is alive and has
+        nothing new. Such a number counts only on a connection whose lines are the member's: another process may have come up at the
+        address of a member that is gone, and would be taken for it for good."""
         value = json.loads(data)
         if isinstance(value, dict) and ("register" in value or "follower" in value):
             self.last_number = value.get("rev") if type(value.get("rev")) is int else self.last_number
+            self.current_watch.line_accepted = False
             try:
                 self.transport.receive_line(self.member_id, value)
+                self.current_watch.line_accepted = True
             except register_codec.BadLine as error:  # reading goes on: the member may be of another version or fleet
                 self.bad_line_count += 1
                 if self.bad_line_count in (1, 10, 100, 1000):
                     log.error("unusable", extra={"kv": {"member": self.name, "why": str(error), "times": self.bad_line_count}})
-        elif type(value) is int:
+        elif type(value) is int and self.current_watch.line_accepted:
             self.transport.receive_heartbeat(self.member_id)
 
 
--- a/fieldspur/net/discovery.py
+++ b/fieldspur/net/discovery.py
@@ -86,6 +86,7 @@
     def __init__(self, sock: socket.socket):
         self.sock = sock
         self.partial_line = b""
+        self.line_accepted = False  # used by a subclass: the last line with content that came here was valid
 
     def has_unread_bytes(self) -> bool:
         if self.sock.fileno() < 0:
@@ -107,6 +108,7 @@
         self.address_changed = threading.Event()  # set until `run` has noticed the change
         self.caught_up = threading.Event()  # set once all past events have arrived without a gap
         self.watches: tuple[Watch, ...] = ()  # the open connections, the oldest first; usually one
+        self.current_watch: Watch | None = None  # the one whose lines are being handled
         self.read_lock = threading.Lock()  # held from a read until its events are passed to the subscriber
         self.thread_ident = 0  # ident of the thread that reads
         self.last_line_at = time.monotonic()  # when the last whole line arrived
@@ -336,7 +338,7 @@
         # All arrived events are passed on before this thread runs the Router: otherwise it could write hops that take
         # account of the first of these events only.
         self.subscriber.start_batch()
-        has_lines = False
+        has_lines, self.current_watch = False, watch
         with self.read_lock:
             data = watch.sock.recv(65_536)
             *lines, watch.partial_line = (watch.partial_line + data).split(b"\n")
