Cancels of attempts no longer wait for one lock of all requests

Cause, by a stack probe in a scratch copy: check_silence cancels some 100 attempts in one event; each cancel waits for ConnectionPool.lock, which every client's thread takes, and for the interpreter behind some 60 readers: 3.8 s on end in claim_end and add_cancel, 528 to 744 events waiting.

Change: what that lock guarded for single txns is guarded by 64 locks by the txn's number. The pool's own lock is for connections and the list.

Tests: test_bad_clients.py: a cancel while the pool's lock is held never ended before (tried without the txn's lock, which the parent has not); one of four threads reports a hop's end.

--- a/fieldspur/net/connection_pool.py
+++ b/fieldspur/net/connection_pool.py
@@ -19,6 +19,7 @@
 
 log = logging.getLogger("fieldspur.send")
 CLIENT_CHECK_AFTER = 20 * MS  # a txn taken that long ago has waited for something, and its client may have left meanwhile
+TXN_LOCKS = 64
 IDLE_CHECK_AFTER = 20 * MS  # a connection on which nothing was received for that long may have been closed meanwhile
 
 
@@ -35,7 +36,11 @@
         self.connection_ends = ReasonCounter(ConnectionEnd)
         self.outstanding: dict[int, Hop] = {}  # by txn: its attempt that is written and has not ended
         self.last_break_at = 0  # when a connection last broke with written hops open on it
-        self.lock = threading.Lock()
+        self.lock = threading.Lock()  # guards the connections and the changes of endpoints
+        # Each guards the hops of some txns: `Hop.ended`, and their entries in `outstanding`, `undelivered_cancels`, `waiting_for_cancel`.
+        # One lock for all would be contended for by every client's thread, and the thread that has the Router's lock may have to take
+        # it a hundred times in a row, to cancel what waits for a silent server.
+        self.txn_locks = tuple(threading.Lock() for _ in range(TXN_LOCKS))
         self.connections: dict[str, list[ServerConnection]] = {}  # by server
         self.endpoints = self.rules.endpoints
         # A txn may have one hop outstanding at a time. By txn: its cancelled hop of which the server is not told yet, and its next hop,
@@ -117,7 +122,7 @@
 
     def claim_end(self, hop: Hop) -> bool:
         """Returns True to the first caller only, who then has to report the hop's end."""
-        with self.lock:
+        with self.txn_locks[hop.ident % TXN_LOCKS]:
             is_first, hop.ended = not hop.ended, True
             if self.outstanding.get(hop.ident) is hop:
                 del self.outstanding[hop.ident]
@@ -165,7 +170,7 @@
             if txn is None:
                 self.refuse(hop, Refusal.CLIENT_LEFT)
                 return False
-        with self.lock:
+        with self.txn_locks[hop.ident % TXN_LOCKS]:
             if hop.ended:
                 return False  # the thread that cancelled it has removed it from the connection
             if hop.ident in self.undelivered_cancels and self.undelivered_cancels[hop.ident].connection is not hop.connection:
@@ -204,7 +209,7 @@
 
     def cancel_delivered(self, hop: Hop) -> None:
         """The server is told that the hop is cancelled, or the connection has ended: the txn's next hop may be written."""
-        with self.lock:
+        with self.txn_locks[hop.ident % TXN_LOCKS]:
             if self.undelivered_cancels.get(hop.ident) is hop:
                 del self.undelivered_cancels[hop.ident]
             next_hop = self.waiting_for_cancel.pop(hop.ident, None)
--- a/fieldspur/net/server_connection.py
+++ b/fieldspur/net/server_connection.py
@@ -195,7 +195,7 @@
 
     def add_cancel(self, hop: Hop) -> None:
         """Has the server told that a hop is given up; the txn's next hop waits for that. The caller holds the lock."""
-        with self.pool.lock:  # lock order: a connection's lock first, then the pool's
+        with self.pool.txn_locks[hop.ident % len(self.pool.txn_locks)]:  # lock order: a connection's lock first, then that of a txn
             self.pool.undelivered_cancels[hop.ident] = hop
         self.cancels.append(hop)
 
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -9,9 +9,10 @@
 from pathlib import Path
 
 import pytest
-from helpers import Cache, peak_memory_mb, until
+from helpers import Cache, Listener, clock, peak_memory_mb, sender, until
 
 from fieldspur.net.admission import ReadTurns
+from fieldspur.net.server_connection import Hop
 from fieldspur.permissions import MAX_USELESS_DEBT, MAX_USELESS_FRAMES, USELESS_FRAMES_PER_S, UselessFrameBudget
 
 LIMIT_MS = 1250
@@ -174,3 +175,35 @@
     assert not budget.add(useless=0, useful=1, now=0.0)  # made up for
     assert budget.add(useless=10**6, useful=0, now=0.0)
     assert not budget.add(useless=0, useful=0, now=MAX_USELESS_DEBT / USELESS_FRAMES_PER_S)
+
+
+def test_a_cancel_does_not_wait_for_a_lock_that_the_threads_of_other_requests_take():
+    """60 bad clients with 32 requests each: the thread with the Router's lock cancelled a hundred attempts at a silent cache and waited for
+    one lock of all requests each time, 3.8 s in all, in which no time limit was looked at."""
+    pool = sender(Listener().address)
+    mine, other = (Hop(ident, 0, f"{ident:016x}", "c0", None, None, clock()) for ident in (1, 2))
+    ended = []
+    with pool.lock, pool.txn_locks[other.ident % len(pool.txn_locks)]:
+        thread = threading.Thread(target=lambda: ended.append(pool.claim_end(mine)))
+        thread.start()
+        thread.join(5)
+        assert ended == [True]
+    assert not pool.claim_end(mine) and pool.claim_end(other)
+
+
+def test_of_the_threads_that_end_one_hop_at_the_same_moment_one_reports_it():
+    pool, claims, barrier = sender(Listener().address), [], threading.Barrier(4)
+    hops = [Hop(ident, 0, f"{ident:016x}", "c0", None, None, clock()) for ident in range(1, 201)]
+
+    def claim_all():
+        for hop in hops:
+            barrier.wait(20)
+            if pool.claim_end(hop):
+                claims.append(hop.ident)
+
+    threads = [threading.Thread(target=claim_all) for _ in range(4)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(60)
+    assert sorted(claims) == list(range(1, 201))
