A buffer that grows gives the memory of the old one back only once it is replaced

Seen by reading the change back: make_room gave the old buffer's share of the budget back before the new one was made, and a buffer made smaller than before, but not to its first size, would have kept its share for good. The second could not be brought about: a large buffer ends with its message.

--- a/fieldspur/net/receive_buffer.py
+++ b/fieldspur/net/receive_buffer.py
@@ -69,15 +69,16 @@
         new_size = min(self.message_size, 2 * max(self.end - self.start, self.initial_size))
         if self.budget is None or new_size <= len(self.buf):
             return True
-        if not self.budget.take(new_size):  # the present buffer counts until it is replaced
+        if not self.budget.take(new_size):
             return False
-        self.budget.give_back(self.budgeted_size())
+        replaced_size = self.budgeted_size(len(self.buf))
         self.resize(new_size)
+        self.budget.give_back(replaced_size)  # only now: while the buffer grows, there are two
         return True
 
-    def budgeted_size(self) -> int:
-        """How much of the budget the buffer has taken."""
-        return len(self.buf) if len(self.buf) > self.initial_size else 0
+    def budgeted_size(self, size: int) -> int:
+        """How much of the budget a buffer of this size takes."""
+        return size if size > self.initial_size else 0
 
     def release(self) -> None:
         """Drops all bytes, and gives the memory beyond the initial size back."""
@@ -88,8 +89,8 @@
     def resize(self, new_size: int) -> None:
         """Sets the buffer's size and moves the unconsumed bytes to its beginning."""
         unread_size = self.end - self.start
-        if self.budget is not None and new_size == self.initial_size:
-            self.budget.give_back(self.budgeted_size())
+        if self.budget is not None and new_size < len(self.buf):
+            self.budget.give_back(self.budgeted_size(len(self.buf)) - self.budgeted_size(new_size))
         if new_size == len(self.buf):
             self.buf[:unread_size] = self.buf[self.start : self.end]
         else:
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -7,11 +7,15 @@
 import threading
 import time
 from pathlib import Path
+from random import Random
 
 import pytest
+from bad_clients import encode_frame
 from helpers import Cache, Listener, clock, peak_memory_mb, sender, until
 
+from fieldspur.net import frames
 from fieldspur.net.admission import ReadTurns
+from fieldspur.net.receive_buffer import MemoryBudget
 from fieldspur.net.server_connection import Hop
 from fieldspur.permissions import MAX_USELESS_DEBT, MAX_USELESS_FRAMES, USELESS_FRAMES_PER_S, UselessFrameBudget
 
@@ -207,3 +211,25 @@
     for thread in threads:
         thread.join(60)
     assert sorted(claims) == list(range(1, 201))
+
+
+@pytest.mark.parametrize("limit", [0, 20_000, 1 << 20])
+def test_what_a_connection_takes_of_the_memory_for_frames_is_what_its_buffer_has(limit):
+    """Frames of all sizes, in pieces of all sizes; with little memory some are dropped, and nothing else changes."""
+    rng, budget = Random(limit), MemoryBudget(limit)
+    decoder, stream, streams = frames.Decoder(budget), 0, []
+    for _ in range(300):
+        data = b""
+        for _ in range(rng.randrange(1, 4)):
+            stream += 1
+            data += encode_frame(65, stream, b"\0" * rng.choice((0, 90, 1500, 5000, 9000, 47_000, 70_000)))
+        while data:
+            space = decoder.receive_buffer.free_space()
+            size = min(len(space), rng.choice((1, 13, 1400, 60_000)) + rng.randrange(3000), len(data))
+            space[:size], data = data[:size], data[size:]
+            streams += [frame.stream for frame in decoder.decode_received(size)]
+            held = len(decoder.receive_buffer.buf)
+            assert budget.taken == (held if held > frames.INITIAL_BUFFER_BYTES else 0) <= limit
+    assert streams == list(range(1, stream + 1))
+    decoder.receive_buffer.release()
+    assert budget.taken == 0
