--- a/fieldspur/net/frames.py
+++ b/fieldspur/net/frames.py
@@ -267,10 +267,6 @@
         receive_buffer.start += size
         self.bytes_to_skip -= size
 
-    def unfinished_bytes(self) -> int:
-        """Received bytes of an unfinished frame; more than 0 also if they were dropped."""
-        return len(self.receive_buffer) or self.bytes_to_skip
-
 
 MAX_JOINED_BODY_BYTES = 8192  # up to this size a body is copied behind its head, as writing one buffer costs less than two
 
